--- /dev/null
+++ b/badgerroute/__init__.py
@@ -0,0 +1,1 @@
+"""badgerroute: a cluster scheduler of cooperating controllers."""
--- /dev/null
+++ b/badgerroute/cli.py
@@ -0,0 +1,66 @@
+"""The command line: run a controller, or check its settings."""
+
+import argparse
+import logging
+import os
+import sys
+
+from badgerroute import settings as settings_module
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+OPERATOR_FILE = "BADGERROUTE_OPERATOR_SETTINGS"
+
+
+def parser() -> argparse.ArgumentParser:
+    made = argparse.ArgumentParser(prog="badgerroute", description="Run a controller of the badgerroute scheduler.")
+    made.add_argument("--config", metavar="FILE", required=True, help="the platform's settings (TOML)")
+    made.add_argument(
+        "--operator-settings",
+        metavar="FILE",
+        default=os.environ.get(OPERATOR_FILE),
+        help=f"the operators' own settings (HCL); default: ${OPERATOR_FILE}, else none",
+    )
+    made.add_argument("--check", action="store_true", help="check the settings, print what follows from them, and end")
+    return made
+
+
+def set_up_logging() -> None:
+    level = os.environ.get("LOG_LEVEL", "info").lower()
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=LEVELS.get(level, logging.INFO),
+        format="level=%(levelname)s logger=%(name)s %(message)s",
+    )
+    logging.raiseExceptions = False
+    if level not in LEVELS:
+        logging.getLogger("badgerroute").warning("event=unknown_log_level value=%r used=info", level)
+
+
+def describe(settings: settings_module.Settings) -> str:
+    params = settings.params
+    return "\n".join(
+        [
+            f"controller {settings.platform.host_name}: home part {settings.home} of {params.size}",
+            f"teams: {', '.join(team.name for team in params.teams) or 'none'}",
+            f"acts without proof of its claims for {settings.grace.total_seconds():.1f} s",
+            f"takes a silent machine for rid of its tasks after {settings.machine_lease.total_seconds():.1f} s",
+            f"ladder: tau {settings.operator.scheduling.tau}; feedback: delta {settings.operator.scheduling.delta}, "
+            f"rho {settings.operator.scheduling.rho}, period {settings.operator.scheduling.period_s} s",
+        ]
+    )
+
+
+def main(arguments: list[str] | None = None) -> int:
+    options = parser().parse_args(arguments)
+    set_up_logging()
+    try:
+        settings = settings_module.load(options.config, options.operator_settings)
+    except settings_module.SettingsError as error:
+        print(f"badgerroute: {error}", file=sys.stderr)
+        return 2
+    if options.check:
+        print(describe(settings))
+        return 0
+    from badgerroute.daemon import run
+
+    return run(settings)
--- /dev/null
+++ b/badgerroute/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Claims, takeover, parts, stealing, shares, fleet, admission."""
--- /dev/null
+++ b/badgerroute/coordination/claims.py
@@ -0,0 +1,247 @@
+"""Leased claims: who owns a part, since when, and until when a controller may act on what it knows.
+
+A claim's key lives on the controller's lease. Its revision is the part's term, and the workers' token.
+"""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from badgerroute.protocol.state import Condition
+from badgerroute.settings import Settings
+from badgerroute.storage import records
+from badgerroute.storage.budget import Urgency
+from badgerroute.storage.replica import FLEET, PARTS, Replica
+from badgerroute.storage.state import Conflicted, LeaseGone, StateClient, Unavailable, Unknown, put, when
+from badgerroute.transport.clock import ZERO
+from badgerroute.transport.loop import Loop
+
+log = logging.getLogger("badgerroute.claims")
+NEVER = -timedelta(days=1)
+FIRST_WAIT = timedelta(seconds=3)  # a part that nobody ever held is left to its home controller for so long
+RETRY = timedelta(milliseconds=250)
+
+
+@dataclass(slots=True)
+class Claim:
+    term: int
+    grace: timedelta  # counted from the claim: how long whoever held it before may still act for it
+
+
+class Claims:
+    def __init__(
+        self,
+        settings: Settings,
+        loop: Loop,
+        state: StateClient,
+        replica: Replica,
+        won: Callable[[int, Claim], None],
+        lost: Callable[[int], None],
+    ) -> None:
+        self._settings, self._loop, self._state, self._replica = settings, loop, state, replica
+        self._won, self._lost = won, lost
+        self._me = settings.platform.host_name
+        self.lease: int | None = None
+        self.parts: dict[int, Claim] = {}
+        self.fleet: int | None = None
+        self._proved = NEVER
+        self._started = loop.now()
+        self._seen: set[int] = set()  # parts that were held by somebody once
+        self._busy: set[int] = set()  # parts with a write of ours on its way
+        replica.listen(PARTS, self._part_changed)
+        replica.listen(FLEET, self._fleet_changed)
+
+    # -- what others ask
+
+    def key(self, part: int) -> str:
+        return f"{PARTS}{part}"
+
+    def condition(self, part: int) -> Condition:
+        """What every write for a part is conditional on."""
+        return when(self.key(part), self.parts[part].term)
+
+    def fresh(self) -> bool:
+        """Whether what we know of the state service is recent enough to act on: docs/safety.md, G."""
+        proved = min(self._proved, self._replica.proved)
+        return self._loop.now() - proved < self._settings.grace
+
+    def acting(self, part: int) -> bool:
+        return part in self.parts and self.fresh()
+
+    def owner(self, part: int) -> str | None:
+        value = self._replica.value(self.key(part))
+        return records.read(value, records.PartClaim).owner if value else None
+
+    # -- duty
+
+    async def run(self) -> None:
+        await self._replica.ready
+        pause = self._settings.operator.claims.ttl / 4
+        while True:
+            try:
+                await self._keep_lease()
+                await self._claim_all()
+            except (Unavailable, Unknown) as error:
+                log.info("event=claims_delayed error=%s", error)
+                await self._loop.sleep(RETRY)
+                continue
+            except LeaseGone:
+                self._lease_ended()
+                continue
+            await self._loop.sleep(min(pause, RETRY) if self._wanting() else pause)
+
+    async def _keep_lease(self) -> None:
+        sent = self._loop.now()
+        ttl = self._settings.operator.claims.ttl
+        if self.lease is None:
+            self.lease = await self._state.grant(ttl)
+            log.info("event=lease_granted lease=%d", self.lease)
+        else:
+            if sent - self._proved < ttl / 5:
+                return
+            await self._state.touch(self.lease, min(ttl / 2, timedelta(seconds=1.5)))
+        self._proved = sent
+
+    def _lease_ended(self) -> None:
+        log.warning("event=lease_lost parts=%s", sorted(self.parts))
+        self.lease = None
+        self._proved = NEVER
+        self.fleet = None
+        for part in list(self.parts):
+            self._drop(part)
+
+    def _drop(self, part: int) -> None:
+        if self.parts.pop(part, None) is not None:
+            self._lost(part)
+
+    def _wanting(self) -> bool:
+        return any(self._claimable(part) for part in range(self._settings.params.size))
+
+    def _claimable(self, part: int) -> bool:
+        if part in self.parts or part in self._busy:
+            return False
+        owner = self.owner(part)
+        if owner is not None:
+            return owner == self._me
+        if part == self._settings.home or part in self._seen:
+            return True
+        return self._loop.now() - self._started > FIRST_WAIT
+
+    async def _claim_all(self) -> None:
+        size = self._settings.params.size
+        home = self._settings.home
+        for offset in range(size):  # the home part first
+            part = (home + offset) % size
+            if self._claimable(part):
+                if part != home and self.owner(part) is None:
+                    # Whoever has fewest parts should come first; a short pause settles most races.
+                    await self._loop.sleep(timedelta(milliseconds=80) * len(self.parts))
+                if self._claimable(part):
+                    await self._claim(part)
+        if self.fleet is None:
+            await self._claim_fleet()
+
+    async def _claim(self, part: int) -> None:
+        value = self._replica.value(self.key(part))
+        held = records.read(value, records.PartClaim) if value else None
+        if held is not None and held.owner != self._me:
+            return
+        # Under our own name it is an earlier life of ours, which is over, or it was handed to us by an owner that
+        # had stopped before. But an owner before that may have been cut off, so its time limit is passed on.
+        until = held.until if held is not None else self._now_of_day() + self._settings.grace.total_seconds()
+        await self._write(part, self._replica.mark(self.key(part)), until)
+
+    def _now_of_day(self) -> float:
+        return self._loop.clock.today().timestamp()
+
+    async def _write(self, part: int, mark: int, until: float) -> int | None:
+        key, lease = self.key(part), self.lease
+        if lease is None:
+            return None
+        self._busy.add(part)
+        try:
+            record = records.PartClaim(self._me, until)
+            term = await self._state.transact(
+                [when(key, mark)], [put(key, records.write(record), lease)], Urgency.CLAIM
+            )
+        except Conflicted:
+            log.info("event=claim_missed part=%d", part)
+            item = await self._state.get(key, Urgency.CLAIM)
+            if item is not None:
+                self._replica.learn(key, bytes(item.value), item.revision)
+            return None
+        finally:
+            self._busy.discard(part)
+        if lease != self.lease:  # the lease ended while we waited: so did the claim
+            return None
+        bound = 2 * self._settings.params.time_bound_ms / 1000  # two controllers' times of day
+        claim = Claim(term, max(ZERO, timedelta(seconds=until - self._now_of_day() + bound)))
+        known = self.parts.get(part)
+        self.parts[part] = claim
+        self._replica.learn(key, bytes(records.write(record)), term)
+        if known is None:
+            log.info("event=part_claimed part=%d term=%d grace=%.1f", part, term, claim.grace.total_seconds())
+            self._won(part, claim)
+        return term
+
+    async def raise_term(self, part: int) -> int | None:
+        """A higher term for a part that is held already, for a machine that has seen a higher token."""
+        claim = self.parts.get(part)
+        if claim is None or part in self._busy:
+            return None
+        log.info("event=term_raised part=%d from=%d", part, claim.term)
+        return await self._write(part, claim.term, self._until(part))
+
+    def _until(self, part: int) -> float:
+        value = self._replica.value(self.key(part))
+        return records.read(value, records.PartClaim).until if value else 0.0
+
+    async def hand_over(self, part: int, host: str, lease: int) -> None:
+        """Give a part to the controller whose home it is. We stop acting for it before we write."""
+        claim = self.parts.get(part)
+        if claim is None or part in self._busy:
+            return
+        self._busy.add(part)
+        self._drop(part)
+        try:
+            key = self.key(part)
+            value = records.write(records.PartClaim(host, self._until(part)))
+            mark = await self._state.transact([when(key, claim.term)], [put(key, value, lease)], Urgency.CLAIM)
+            self._replica.learn(key, bytes(value), mark)
+            log.info("event=part_handed_over part=%d to=%s", part, host)
+        except (Unavailable, Unknown, Conflicted, LeaseGone) as error:
+            log.info("event=hand_over_failed part=%d error=%s", part, error)
+        finally:
+            self._busy.discard(part)
+
+    async def _claim_fleet(self) -> None:
+        value = self._replica.value(FLEET)
+        if value is not None and records.read(value, records.FleetClaim).owner != self._me:
+            return
+        record = records.write(records.FleetClaim(self._me))
+        lease = self.lease
+        try:
+            mark = await self._state.transact(
+                [when(FLEET, self._replica.mark(FLEET))], [put(FLEET, record, lease)], Urgency.CLAIM
+            )
+        except Conflicted:
+            return
+        if lease == self.lease:
+            self.fleet = mark
+            self._replica.learn(FLEET, bytes(record), mark)
+            log.info("event=fleet_claimed term=%d", mark)
+
+    # -- what the watch says
+
+    def _part_changed(self, key: str, value: bytes | None, revision: int) -> None:
+        part = int(key.removeprefix(PARTS))
+        self._seen.add(part)
+        claim = self.parts.get(part)
+        if claim is not None and part not in self._busy and revision > claim.term:
+            log.warning("event=deposed part=%d term=%d", part, claim.term)
+            self._drop(part)
+
+    def _fleet_changed(self, key: str, value: bytes | None, revision: int) -> None:
+        if self.fleet is not None and revision > self.fleet:
+            self.fleet = None
--- /dev/null
+++ b/badgerroute/coordination/controller.py
@@ -0,0 +1,526 @@
+"""One controller: its duties, and who answers what."""
+
+import logging
+import zlib
+from datetime import timedelta
+
+import msgspec
+
+from badgerroute.coordination.claims import Claim, Claims
+from badgerroute.coordination.fleet import Fleet, rents_ahead
+from badgerroute.coordination.jobs import JobBook
+from badgerroute.coordination.mesh import Mesh
+from badgerroute.coordination.owner import Owner
+from badgerroute.coordination.shares import Shares
+from badgerroute.coordination.split import split
+from badgerroute.protocol import mesh as mesh_wire
+from badgerroute.protocol.cloud import MachineType
+from badgerroute.protocol.common import Malformed, encode
+from badgerroute.protocol.state import Condition
+from badgerroute.protocol.users import REF, Submission, parse_submission
+from badgerroute.protocol.workers import Redirect, parse_report
+from badgerroute.scheduling.model import Room, capacity_of, need_of
+from badgerroute.settings import Settings, Team
+from badgerroute.storage import records
+from badgerroute.storage.budget import Urgency
+from badgerroute.storage.cloud import CloudClient, CloudUnavailable, NoCapacity
+from badgerroute.storage.replica import CATALOG, JOBS, MACHINES, Replica
+from badgerroute.storage.state import Conflicted, LeaseGone, StateClient, Unavailable, Unknown, put, when
+from badgerroute.transport.http import Request, Response, Server
+from badgerroute.transport.loop import Future, Group, Loop
+from badgerroute.transport.net import Network
+
+log = logging.getLogger("badgerroute.controller")
+GOSSIP = timedelta(milliseconds=500)
+FLUSH = timedelta(milliseconds=300)
+STALE = timedelta(seconds=3)
+HAND_OVER_PAUSE = timedelta(seconds=2)
+RESERVED_SOCKETS = 48  # for the state service, the cloud, the mesh and commands to workers
+
+
+class CatalogRecord(msgspec.Struct):
+    types: list[MachineType]
+
+
+class Sibling:
+    __slots__ = ("gossip", "heard")
+
+    def __init__(self, gossip: mesh_wire.Gossip, heard: timedelta) -> None:
+        self.gossip, self.heard = gossip, heard
+
+
+def answer(status: int, message: object, headers: dict[str, str] | None = None) -> Response:
+    return Response(status, encode(message), headers or {})
+
+
+def error(status: int, text: str) -> Response:
+    return answer(status, {"error": text})
+
+
+def come_back(text: str, status: int = 503) -> Response:
+    return answer(status, {"error": text}, {"Retry-After": "1"})
+
+
+class Controller:
+    def __init__(self, settings: Settings, loop: Loop, network: Network, group: Group) -> None:
+        self.settings, self._loop, self._network, self._group = settings, loop, network, group
+        params = settings.params
+        self.state = StateClient(loop, network, settings.platform.endpoints.state, params.state, params.size)
+        self.cloud = CloudClient(loop, network, settings.platform.endpoints.cloud, params.cloud, params.size)
+        self.replica = Replica(loop, self.state)
+        self.mesh = Mesh(settings, loop, network, group, self._on_message)
+        self.claims = Claims(settings, loop, self.state, self.replica, self._won, self._lost)
+        self.book = JobBook(settings, loop, self.state, self.replica, self._push)
+        self.shares = Shares(settings, loop, self.state, self.replica, self._push, self._condition)
+        self.catalog: dict[str, MachineType] = {}
+        self.fleet = Fleet(
+            settings,
+            loop,
+            group,
+            self.cloud,
+            self.claims,
+            self.replica,
+            self.catalog,
+            self._summaries,
+            self._machines_gone,
+        )
+        self.owners: dict[int, Owner] = {}
+        self.siblings: dict[str, Sibling] = {}
+        self._teams: dict[str, Team] = {team.name: team for team in params.teams}
+        self._flush = Future()
+        self._up_since: timedelta | None = None
+        most = max(16, params.resources.fd_limit - RESERVED_SOCKETS - 8 * params.size)
+        self._server = Server(loop, group, self._handle, most)
+        self.replica.listen(JOBS, self._job_changed)
+        self.replica.listen(MACHINES, self._machine_changed)
+        self.replica.listen(CATALOG, self._catalog_changed)
+
+    # -- life
+
+    async def run(self) -> None:
+        log.info("event=start host=%s home=%d", self.settings.platform.host_name, self.settings.home)
+        listener = self._network.listen(self.settings.platform.public_addr)
+        self._group.spawn(self._server.serve(listener), "serve")
+        self.mesh.start()
+        second = timedelta(seconds=1)
+        for make, name in (
+            (self.replica.run, "replica"),
+            (self.claims.run, "claims"),
+            (self._catalog_duty, "catalog"),
+            (self._gossip_duty, "gossip"),
+            (self._flush_duty, "flush"),
+            (self._guarantee_duty, "guarantees"),
+            (self._steal_duty, "steal"),
+            (self._hand_over_duty, "hand-over"),
+            (self.fleet.rent_duty, "rent"),
+            (self.fleet.delete_duty, "delete"),
+            (self._idle_duty, "idle"),
+        ):
+            self._group.duty(make, name, second)
+        await Future()
+
+    def _won(self, part: int, claim: Claim) -> None:
+        owner = Owner(
+            part,
+            claim,
+            self.settings,
+            self._loop,
+            self._network,
+            self._group,
+            self.state,
+            self.replica,
+            self.claims,
+            self.book,
+            self.shares,
+            self.catalog,
+            self._push,
+            self._progressed,
+        )
+        owner.delete = self.fleet.delete
+        owner.ask = self._ask_share
+        self.owners[part] = owner
+        owner.start()
+
+    def _lost(self, part: int) -> None:
+        owner = self.owners.pop(part, None)
+        if owner is not None:
+            log.info("event=part_lost part=%d", part)
+            owner.close()
+
+    def _condition(self, part: int) -> Condition | None:
+        return self.claims.condition(part) if part in self.claims.parts else None
+
+    # -- what the watch says
+
+    def _job_changed(self, key: str, value: bytes | None, revision: int) -> None:
+        ref = key.removeprefix(JOBS)
+        for owner in self.owners.values():
+            if owner.ready:
+                owner.job_changed(ref)
+
+    def _machine_changed(self, key: str, value: bytes | None, revision: int) -> None:
+        for owner in self.owners.values():
+            if owner.ready:
+                owner.machine_changed(key.removeprefix(MACHINES), value)
+
+    def _machines_gone(self, names: list[str]) -> None:
+        for owner in list(self.owners.values()):
+            mine = [name for name in names if name in owner.part.machines]
+            if mine:
+                self._group.spawn(owner.forget_machines(mine), "forget")
+
+    def _catalog_changed(self, key: str, value: bytes | None, revision: int) -> None:
+        if value is not None:
+            self._know_types(records.read(value, CatalogRecord).types)
+
+    def _know_types(self, types: list[MachineType]) -> None:
+        self.catalog.update({kind.name: kind for kind in types})
+
+    # -- duties
+
+    async def _catalog_duty(self) -> None:
+        """Learn the machine types, and keep them where a restart in an outage of the cloud finds them."""
+        await self.replica.ready
+        while True:
+            pause = timedelta(seconds=60)
+            if self.claims.fleet is not None or not self.catalog:
+                try:
+                    types = await self.cloud.catalog()
+                except (CloudUnavailable, NoCapacity) as trouble:
+                    log.info("event=catalog_failed error=%s", trouble)
+                    pause = timedelta(seconds=2)
+                else:
+                    fresh = set(self.catalog) != {kind.name for kind in types}
+                    self._know_types(types)
+                    if fresh or self.replica.value(CATALOG) is None:
+                        await self._store_catalog(types)
+            await self._loop.sleep(pause)
+
+    async def _store_catalog(self, types: list[MachineType]) -> None:
+        value = records.write(CatalogRecord(types))
+        if len(bytes(value)) > self.settings.params.state.value_kb * 1024:
+            return
+        try:
+            mark = self.replica.mark(CATALOG)
+            await self.state.transact([when(CATALOG, mark)], [put(CATALOG, value)], Urgency.PROGRESS)
+        except (Unavailable, Unknown, Conflicted) as trouble:
+            log.debug("event=catalog_not_stored error=%s", trouble)
+
+    async def _gossip_duty(self) -> None:
+        while True:
+            await self._loop.sleep(GOSSIP)
+            if self.claims.lease is not None:
+                self.mesh.broadcast(self._gossip())
+
+    def _gossip(self) -> mesh_wire.Gossip:
+        parts = [owner.summary() for owner in self.owners.values() if owner.ready]
+        return mesh_wire.Gossip(
+            self.settings.platform.host_name,
+            self.claims.lease or 0,
+            bool(self.catalog) and self.replica.ready.done,
+            0,
+            parts,
+        )
+
+    def _progressed(self) -> None:
+        self._flush.set()
+
+    async def _flush_duty(self) -> None:
+        """Write progress down in batches: at once when a job may be complete, else once in a while."""
+        while True:
+            await self._flush
+            self._flush = Future()
+            try:
+                await self._flush_once()
+            except (Unavailable, Unknown, LeaseGone) as trouble:
+                log.info("event=progress_delayed error=%s", trouble)
+                self._flush.set()
+            if any(owner.progress for owner in self.owners.values()):
+                self._flush.set()
+            await self._loop.sleep(FLUSH)
+
+    async def _flush_once(self) -> None:
+        merged: dict[str, object] = {}
+        for owner in self.owners.values():
+            for one in owner.batch():
+                known = merged.get(one.ref)
+                if known is None:
+                    merged[one.ref] = one
+                else:
+                    known.done |= one.done
+                    known.parts |= one.parts
+        if not merged:
+            return
+
+        def rest(one: object) -> int:
+            record = self.book.active.get(one.ref)
+            return (record.job.tasks - (record.done() | one.done).bit_count()) if record else 0
+
+        batch = sorted(merged.values(), key=rest)  # jobs that are complete come first
+        await self.book.write_progress(batch, self._condition)
+
+    async def _guarantee_duty(self) -> None:
+        """Which jobs lie within their team's guarantee, together with the team's earlier unfinished jobs."""
+        while True:
+            await self._loop.sleep(GOSSIP)
+            used: dict[str, Room] = {}
+            within: dict[str, bool] = {}
+            for ref, record in sorted(self.book.active.items(), key=lambda one: one[1].accepted):
+                job = record.job
+                team = self._teams.get(job.team)
+                if team is None:
+                    continue
+                left = job.tasks - record.done().bit_count()
+                room = used.setdefault(job.team, Room())
+                room.add(Room(left * job.cpus, left * job.accelerators))
+                within[ref] = Room(team.cpus, team.gpus).holds(room)
+            for owner in self.owners.values():
+                for job in owner.part.jobs.values():
+                    job.guaranteed = within.get(job.ref, False)
+
+    async def _steal_duty(self) -> None:
+        """Idle parts ask busy ones for waiting tasks, one request per part and period."""
+        while True:
+            await self._loop.sleep(GOSSIP)
+            for owner in list(self.owners.values()):
+                if not owner.ready or not owner.part.settled or not self.claims.acting(owner.number):
+                    continue
+                bins, images = owner.idle_bins()
+                if not bins or any(shape.count for shape in owner.planner.shapes(self._loop.now())):
+                    continue
+                victim = self._busiest(owner.number)
+                if victim is not None:
+                    self._steal_from(victim, mesh_wire.Steal(victim, owner.number, bins, images))
+
+    def _busiest(self, thief: int) -> int | None:
+        waiting = {
+            summary.part: sum(want.count * max(want.cpus, want.accelerators) for want in summary.wants)
+            for summary in self._summaries()
+            if summary.part != thief and summary.settled
+        }
+        busiest = max(waiting, key=lambda part: waiting[part], default=None)
+        return busiest if busiest is not None and waiting[busiest] > 0 else None
+
+    def _steal_from(self, victim: int, message: mesh_wire.Steal) -> None:
+        if victim in self.owners:
+            self._group.spawn(self.owners[victim].on_steal(message), "steal")
+        else:
+            host = self.claims.owner(victim)
+            if host is not None:
+                self.mesh.send(host, message)
+
+    async def _hand_over_duty(self) -> None:
+        """A part goes back to its home controller once that one is there again."""
+        while True:
+            await self._loop.sleep(HAND_OVER_PAUSE)
+            hosts = self.settings.hosts
+            for part in list(self.claims.parts):
+                home = hosts[part] if part < len(hosts) else None
+                sibling = self.siblings.get(home or "")
+                if part == self.settings.home or sibling is None or not self._recent(sibling):
+                    continue
+                owner = self.owners.get(part)
+                if sibling.gossip.ready and sibling.gossip.lease and owner is not None and owner.part.settled:
+                    await self.claims.hand_over(part, home, sibling.gossip.lease)
+
+    async def _idle_duty(self) -> None:
+        """Return machines that nothing needs, where a machine can be had again in time."""
+        while True:
+            await self._loop.sleep(timedelta(seconds=2))
+            if not self.catalog or rents_ahead(self.settings, self.catalog):
+                continue
+            now = self._loop.now()
+            idle = self.settings.operator.fleet.idle
+            for owner in list(self.owners.values()):
+                if not owner.ready or not owner.part.settled or not self.claims.acting(owner.number):
+                    continue
+                names = []
+                for machine in owner.part.machines.values():
+                    since = machine.idle_since
+                    if machine.alive and machine.empty and since is not None and now - since > idle:
+                        if not machine.held_for:
+                            machine.draining = True  # from here on nothing starts on it
+                            names.append(machine.name)
+                if names:
+                    log.info("event=machines_returned part=%d machines=%s", owner.number, ",".join(names))
+                    self.fleet.delete(names)
+
+    # -- mesh
+
+    def _recent(self, sibling: Sibling) -> bool:
+        return self._loop.now() - sibling.heard < STALE
+
+    def _summaries(self) -> list[mesh_wire.PartSummary]:
+        found = {owner.number: owner.summary() for owner in self.owners.values() if owner.ready}
+        for sibling in self.siblings.values():
+            if self._recent(sibling):
+                for summary in sibling.gossip.parts:
+                    found.setdefault(summary.part, summary)
+        return list(found.values())
+
+    def _push(self, key: str, value: bytes | None, revision: int) -> None:
+        self.mesh.broadcast(mesh_wire.Push(key, revision, value))
+
+    def _on_message(self, message: mesh_wire.Message) -> None:
+        if isinstance(message, mesh_wire.Gossip):
+            self.siblings[message.host] = Sibling(message, self._loop.now())
+        elif isinstance(message, mesh_wire.Push):
+            if self.replica.ready.done:
+                self.replica.learn(message.key, message.value, message.revision)
+        elif isinstance(message, mesh_wire.Steal):
+            owner = self.owners.get(message.victim)
+            if owner is not None and owner.ready:
+                self._group.spawn(owner.on_steal(message), "steal")
+        elif isinstance(message, mesh_wire.Lack):
+            self._give_share(message)
+
+    def _ask_share(self, message: mesh_wire.Lack) -> None:
+        self.mesh.broadcast(message)
+        self._give_share(message)
+
+    def _give_share(self, message: mesh_wire.Lack) -> None:
+        for owner in self.owners.values():
+            if owner.ready and owner.number != message.part:
+                self._group.spawn(owner.give_share(message), "give-share")
+
+    # -- HTTP
+
+    async def _handle(self, request: Request) -> Response:
+        path, method = request.path, request.method
+        if path == "/checkin":
+            return await self._checkin(request) if method == "POST" else error(405, "method not allowed")
+        if path == "/up":
+            return self._up() if method == "GET" else error(405, "method not allowed")
+        if path == "/v1/jobs":
+            return await self._submit(request) if method == "POST" else error(405, "method not allowed")
+        if path.startswith("/v1/jobs/"):
+            ref, slash, action = path.removeprefix("/v1/jobs/").partition("/")
+            if not slash:
+                return await self._poll(ref) if method == "GET" else error(405, "method not allowed")
+            if action == "cancel":
+                return await self._cancel(ref) if method == "POST" else error(405, "method not allowed")
+        return error(404, "no such path")
+
+    def _up(self) -> Response:
+        if self.replica.ready.done and self.claims.fresh():
+            return answer(200, {"state": "up"})
+        return come_back("not ready")
+
+    async def _checkin(self, request: Request) -> Response:
+        try:
+            report = parse_report(request.body)
+        except Malformed as problem:
+            return error(400, str(problem))
+        part = self._part_of(report.machine)
+        owner = self.owners.get(part)
+        if owner is None:
+            host = self.claims.owner(part)
+            if host is None or host == self.settings.platform.host_name:
+                return answer(421, Redirect())
+            return answer(421, Redirect(host))
+        if not owner.ready or not self.claims.acting(part):
+            return come_back("not acting for this machine now")
+        result = await owner.checkin(report)
+        return come_back("can't act on this report now") if result is None else answer(200, result)
+
+    def _part_of(self, name: str) -> int:
+        value = self.replica.value(MACHINES + name)
+        if value is not None:
+            return records.read(value, records.MachineRecord).part
+        # Not a member yet: names in a row go to different parts, so each gets its mix of types and zones.
+        digits = name[len(name.rstrip("0123456789")) :]
+        number = int(digits) if digits else zlib.crc32(name.encode())
+        return number % self.settings.params.size
+
+    async def _submit(self, request: Request) -> Response:
+        try:
+            job = parse_submission(request.body)
+        except Malformed as problem:
+            return error(400, str(problem))
+        if not self.replica.ready.done:
+            return come_back("starting")
+        try:
+            known = await self._known(job)
+            if known is not None:
+                return known
+            if not self.catalog:
+                return come_back("machine types are not known yet")
+            problem = self._impossible(job)
+            if problem is not None:
+                # Whoever accepted it may have known better: only a job that nobody knows can be refused.
+                found = await self.book.look_up(job.ref, Urgency.SUBMIT)
+                return error(422, problem) if found is None else self._state_answer(200, job.ref, found)
+            if await self.book.accept(job, split(job, self._summaries(), self.settings.params.size)):
+                return answer(201, {"ref": job.ref, "condition": "queued"})
+            found = await self.book.look_up(job.ref, Urgency.SUBMIT)
+            return come_back("undecided") if found is None else self._state_answer(200, job.ref, found)
+        except (Unavailable, Unknown, LeaseGone) as trouble:
+            log.info("event=submission_undecided job=%s error=%s", job.ref, trouble)
+            return come_back("the state service can't be reached")
+
+    async def _known(self, job: Submission) -> Response | None:
+        if self.book.final(job.ref) is None and job.ref not in self.book.active:
+            return None
+        found = await self.book.look_up(job.ref, Urgency.SUBMIT)
+        return None if found is None else self._state_answer(200, job.ref, found)
+
+    def _state_answer(self, status: int, ref: str, found: tuple[str, records.JobRecord | None, int]) -> Response:
+        state, record, _ = found
+        return answer(status, self.book.view(ref, state, record, self._running(ref)))
+
+    def _running(self, ref: str) -> int:
+        """How many tasks run, for display: our own parts' as they are, the others' as last heard."""
+        here = sum(
+            placement.running_since is not None
+            for owner in self.owners.values()
+            if ref in owner.part.jobs
+            for placement in owner.part.jobs[ref].placed.values()
+        )
+        there = sum(
+            summary.running.get(ref, 0)
+            for sibling in self.siblings.values()
+            if self._recent(sibling)
+            for summary in sibling.gossip.parts
+            if summary.part not in self.owners
+        )
+        return here + there
+
+    def _impossible(self, job: Submission) -> str | None:
+        """Why a job can never run, if so."""
+        team = self._teams.get(job.team)
+        if team is None:
+            return f"unknown team {job.team}"
+        need = need_of(job)
+        fitting = [
+            kind
+            for kind in self.catalog.values()
+            if (job.types is None or kind.name in job.types)
+            and (job.zone is None or job.zone in kind.zones)
+            and capacity_of(kind).holds(need)
+        ]
+        if not fitting:
+            return "a task fits no allowed machine type"
+        tasks = job.tasks if job.gang else 1
+        if not Room(team.cpus_max, team.gpus_max).holds(Room(tasks * job.cpus, tasks * job.accelerators)):
+            return "more than the team's limit"
+        return None
+
+    async def _poll(self, ref: str) -> Response:
+        if not REF.match(ref):
+            return error(404, "no such job")
+        try:
+            found = await self.book.look_up(ref)
+        except (Unavailable, Unknown) as trouble:
+            log.debug("event=poll_undecided job=%s error=%s", ref, trouble)
+            return come_back("the state service can't be reached")
+        return error(404, "no such job") if found is None else self._state_answer(200, ref, found)
+
+    async def _cancel(self, ref: str) -> Response:
+        if not REF.match(ref):
+            return error(404, "no such job")
+        try:
+            state = await self.book.cancel(ref)
+        except (Unavailable, Unknown, LeaseGone) as trouble:
+            log.info("event=cancellation_undecided job=%s error=%s", ref, trouble)
+            return come_back("the state service can't be reached")
+        return error(404, "no such job") if state is None else answer(200, {"ref": ref, "condition": state})
--- /dev/null
+++ b/badgerroute/coordination/mesh.py
@@ -0,0 +1,116 @@
+"""The mesh: one kept connection to each sibling, for messages that may be lost."""
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+
+from badgerroute.protocol import mesh as wire
+from badgerroute.settings import Settings
+from badgerroute.transport.frames import FrameReader, frame
+from badgerroute.transport.loop import Future, Group, Loop, TimeLimit
+from badgerroute.transport.net import Network, Stream
+
+log = logging.getLogger("badgerroute.mesh")
+MOST_QUEUED = 256
+SILENCE = timedelta(seconds=20)
+WRITE_LIMIT = timedelta(seconds=3)
+
+
+class _Link:
+    """What is on its way to one sibling. While it can't be reached, old messages make way for new ones."""
+
+    def __init__(self, host: str, address: str) -> None:
+        self.host, self.address = host, address
+        self.queue: deque[bytes] = deque(maxlen=MOST_QUEUED)
+        self.wake = Future()
+
+
+class Mesh:
+    def __init__(
+        self, settings: Settings, loop: Loop, network: Network, group: Group, receive: Callable[[wire.Message], None]
+    ) -> None:
+        self._loop, self._network, self._group, self._receive = loop, network, group, receive
+        self._links = {one.host_name: _Link(one.host_name, one.endpoint) for one in settings.platform.siblings}
+        self._address = settings.platform.mesh_addr
+        self._incoming = 0
+        self._most_incoming = 4 * max(1, len(self._links)) + 4
+
+    def start(self) -> None:
+        listener = self._network.listen(self._address)
+        self._group.spawn(self._accept(listener), "mesh-accept")
+        for link in self._links.values():
+            self._group.duty(lambda link=link: self._speak(link), f"mesh-{link.host}", timedelta(seconds=1))
+
+    def send(self, host: str, message: wire.Message) -> None:
+        link = self._links.get(host)
+        if link is not None:
+            self._queue(link, frame(wire.encoder.encode(message)))
+
+    def broadcast(self, message: wire.Message) -> None:
+        data = frame(wire.encoder.encode(message))
+        for link in self._links.values():
+            self._queue(link, data)
+
+    @staticmethod
+    def _queue(link: _Link, data: bytes) -> None:
+        link.queue.append(data)
+        link.wake.set()
+
+    async def _speak(self, link: _Link) -> None:
+        while True:
+            try:
+                stream = await self._network.connect(link.address, timedelta(seconds=1))
+            except (OSError, TimeLimit) as error:
+                log.debug("event=mesh_unreachable sibling=%s error=%s", link.host, error)
+                link.queue.clear()
+                await self._loop.sleep(timedelta(milliseconds=500))
+                continue
+            try:
+                while True:
+                    if not link.queue:
+                        link.wake = Future()
+                        await link.wake
+                    data = b"".join(link.queue)
+                    link.queue.clear()
+                    with self._loop.limit(WRITE_LIMIT):
+                        await stream.write(data)
+            except (OSError, TimeLimit) as error:
+                log.info("event=mesh_link_lost sibling=%s error=%s", link.host, error)
+            finally:
+                stream.close()
+
+    async def _accept(self, listener: object) -> None:
+        try:
+            while True:
+                stream = await listener.accept()
+                if self._incoming >= self._most_incoming:
+                    stream.close()
+                    continue
+                self._incoming += 1
+                self._group.spawn(self._hear(stream), "mesh-in")
+        finally:
+            listener.close()
+
+    async def _hear(self, stream: Stream) -> None:
+        reader = FrameReader(stream)
+        try:
+            while True:
+                with self._loop.limit(SILENCE):
+                    data = await reader.next()
+                try:
+                    message = wire.decoder.decode(data)
+                except msgspec.DecodeError as error:
+                    log.warning("event=mesh_nonsense error=%s", error)
+                    continue
+                try:
+                    self._receive(message)
+                except Exception as error:
+                    log.error("event=mesh_message_failed error=%r", error, exc_info=error)
+        except (OSError, TimeLimit) as error:
+            log.debug("event=mesh_ended error=%s", error)
+        finally:
+            stream.close()
+            self._incoming -= 1
--- /dev/null
+++ b/badgerroute/coordination/owner.py
@@ -0,0 +1,657 @@
+"""One owned part at work: taking it over, its members, its reports, its rounds of decisions."""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from badgerroute.coordination.claims import Claim, Claims
+from badgerroute.coordination.jobs import JobBook, Progress
+from badgerroute.coordination.shares import Shares
+from badgerroute.protocol import mesh as mesh_wire
+from badgerroute.protocol.cloud import MachineType
+from badgerroute.protocol.common import Malformed, encode
+from badgerroute.protocol.workers import Command, DirectCommands, Report, ReportAnswer, parse_report
+from badgerroute.scheduling.model import ZERO, Job, Machine, Phase, Room
+from badgerroute.scheduling.objectives import Objectives
+from badgerroute.scheduling.part import Part
+from badgerroute.scheduling.planner import Planner
+from badgerroute.settings import Settings
+from badgerroute.storage import records
+from badgerroute.storage.budget import Urgency
+from badgerroute.storage.records import MachineRecord, lowest
+from badgerroute.storage.replica import JOBS, MACHINES, Replica
+from badgerroute.storage.state import (
+    Conflicted,
+    LeaseGone,
+    StateClient,
+    Unavailable,
+    Unknown,
+    put,
+    remove,
+    when,
+)
+from badgerroute.transport.http import Client, Unanswered
+from badgerroute.transport.loop import Future, Group, Loop
+from badgerroute.transport.net import Network
+
+log = logging.getLogger("badgerroute.owner")
+DIRECT_LIMIT = timedelta(seconds=2)
+FENCE_RETRY = timedelta(milliseconds=700)
+GIVE_UP = timedelta(seconds=5)  # a member silent for so long after a takeover is deleted at the cloud
+LOST_PATIENCE = timedelta(seconds=4)
+ROUND = timedelta(milliseconds=250)
+REGISTER_LIMIT = timedelta(seconds=1)
+MOST_RANGES = 48
+
+Push = Callable[[str, bytes | None, int], None]
+
+
+class Registrar:
+    """Writes new members down, several in one transaction."""
+
+    def __init__(self, loop: Loop, group: Group, state: StateClient, replica: Replica, push: Push) -> None:
+        self._loop, self._group, self._state, self._replica, self._push = loop, group, state, replica, push
+        self._waiting: dict[str, tuple[MachineRecord, Future]] = {}
+        self._running = False
+
+    def add(self, name: str, record: MachineRecord) -> Future:
+        found = self._waiting.get(name)
+        if found is None:
+            found = self._waiting[name] = (record, Future())
+        return found[1]
+
+    def start(self, claims: Claims) -> None:
+        if not self._running and self._waiting:
+            self._running = True
+            self._group.spawn(self._run(claims), "registrar")
+
+    async def _run(self, claims: Claims) -> None:
+        try:
+            await self._loop.sleep(timedelta(milliseconds=20))  # machines that come up together go in together
+            while self._waiting:
+                names = list(self._waiting)[: self._state.limits.txn_ops]
+                batch = {name: self._waiting.pop(name) for name in names}
+                written: set[str] = set()
+                try:
+                    written = await self._write(claims, {name: record for name, (record, _) in batch.items()})
+                except (Unavailable, Unknown, Conflicted, LeaseGone) as error:
+                    log.info("event=register_failed machines=%d error=%s", len(batch), error)
+                finally:
+                    for name, (_, future) in batch.items():
+                        future.set(name in written)
+        finally:
+            self._running = False
+
+    async def _write(self, claims: Claims, batch: dict[str, MachineRecord]) -> set[str]:
+        batch = {
+            name: record
+            for name, record in batch.items()
+            if record.part in claims.parts and not self._replica.mark(MACHINES + name)
+        }
+        if not batch:
+            return set()
+        conditions = [claims.condition(part) for part in {record.part for record in batch.values()}]
+        conditions += [when(MACHINES + name, 0) for name in batch]
+        values = {MACHINES + name: records.write(record) for name, record in batch.items()}
+        try:
+            at = await self._state.transact(conditions, [put(*item) for item in values.items()], Urgency.SUBMIT)
+        except Conflicted as error:
+            for key in error.failed:
+                item = await self._state.get(key, Urgency.SUBMIT)
+                if item is not None:
+                    self._replica.learn(key, bytes(item.value), item.revision)
+            raise
+        for key, value in values.items():
+            self._replica.learn(key, bytes(value), at)
+            self._push(key, bytes(value), at)
+        return set(batch)
+
+
+class Owner:
+    """Everything a controller does for one part it owns. Ended by `close` when the claim is lost."""
+
+    def __init__(
+        self,
+        number: int,
+        claim: Claim,
+        settings: Settings,
+        loop: Loop,
+        network: Network,
+        parent: Group,
+        state: StateClient,
+        replica: Replica,
+        claims: Claims,
+        book: JobBook,
+        shares: Shares,
+        catalog: dict[str, MachineType],
+        push: Push,
+        progressed: Callable[[], None],
+    ) -> None:
+        self.number = number
+        self._settings, self._loop, self._network = settings, loop, network
+        self._state, self._replica, self._claims = state, replica, claims
+        self._book, self._shares, self._catalog = book, shares, catalog
+        self._push, self._progressed = push, progressed
+        self.group = Group(loop, f"{parent.name}/part-{number}")
+        self.objectives = Objectives(settings.params.objectives)
+        self.part = Part(number, claim.term, lambda team: shares.of(number, team), loop.now())
+        self.planner = Planner(self.part, settings.operator.scheduling, self.objectives)
+        self.grace = claim.grace
+        self.ready = False
+        self.delete: Callable[[list[str]], None] = lambda names: None
+        self._window = records.window(settings.params.state.value_kb)
+        self._clients: dict[str, Client] = {}
+        self._fencing: set[str] = set()
+        self.registrar = Registrar(loop, self.group, state, replica, push)
+        self.progress: set[str] = set()
+        self._raising: Future | None = None
+
+    def start(self) -> None:
+        self.group.spawn(self._take_over(), "takeover")
+
+    def close(self) -> None:
+        self.ready = False
+        self.group.cancel()
+
+    # -- takeover
+
+    async def _take_over(self) -> None:
+        """Rebuild the part from the state service and its machines before anything is placed."""
+        await self._replica.caught_up(self.part.term)  # no write of the former owner comes after this
+        while not self._catalog:
+            await self._loop.sleep(timedelta(milliseconds=100))
+        now = self._loop.now()
+        for key in self._replica.under(MACHINES):
+            self.machine_changed(key.removeprefix(MACHINES), self._replica.value(key))
+        for ref in list(self._book.active):
+            self.job_changed(ref)
+        self.ready = True
+        log.info(
+            "event=takeover part=%d term=%d machines=%d jobs=%d",
+            self.number,
+            self.part.term,
+            len(self.part.machines),
+            len(self.part.jobs),
+        )
+        for machine in list(self.part.machines.values()):
+            self._fence(machine)
+        self.part.claimed_at = min(self.part.claimed_at, now)
+        self.group.duty(self._rounds, "rounds", ROUND)
+
+    def _fence(self, machine: Machine) -> None:
+        if machine.name not in self._fencing:
+            self._fencing.add(machine.name)
+            self.group.spawn(self._fence_one(machine), f"fence-{machine.name}")
+
+    async def _fence_one(self, machine: Machine) -> None:
+        """Tell a member of the new term until its list is known, or it is gone."""
+        began = self._loop.now()
+        asked = False
+        try:
+            while self.part.machines.get(machine.name) is machine and not machine.fenced:
+                if not await self.direct(machine, []):
+                    if not asked and self._loop.now() - began > GIVE_UP:
+                        asked = True
+                        log.info("event=silent_member machine=%s part=%d", machine.name, self.number)
+                        self.delete([machine.name])
+                    await self._loop.sleep(FENCE_RETRY)
+        finally:
+            self._fencing.discard(machine.name)
+
+    def _client(self, machine: Machine) -> Client:
+        client = self._clients.get(machine.name)
+        if client is None:
+            client = self._clients[machine.name] = Client(
+                self._loop, self._network, machine.address, timedelta(seconds=2), 1, timedelta(seconds=1)
+            )
+        return client
+
+    async def direct(self, machine: Machine, commands: list[Command]) -> bool:
+        """Send commands to a machine's own address; never starts, since these may be carried out minutes late."""
+        commands = [one for one in commands if one.kind != "start"]
+        client = self._client(machine)
+        for _ in range(2):
+            body = encode(DirectCommands(self.part.term, machine.session, commands))
+            try:
+                response = await client.request("POST", "/do", body, DIRECT_LIMIT)
+            except Unanswered:
+                return False
+            if response.status not in (200, 409):
+                return False
+            try:
+                report = parse_report(response.body)
+            except Malformed as error:
+                log.warning("event=bad_direct_answer machine=%s error=%s", machine.name, error)
+                return False
+            if self.part.machines.get(machine.name) is not machine or report.machine != machine.name:
+                return False
+            self.take_in(machine, report, checkin=False)
+            if response.status == 200:
+                return True
+            if report.token > self.part.term and not await self.raise_term():
+                return False
+        return False
+
+    async def raise_term(self) -> bool:
+        """Get a term above the token that some machine has seen elsewhere."""
+        if self._raising is not None:
+            await self._loop.first(self._raising, REGISTER_LIMIT)
+            return True
+        self._raising = Future()
+        try:
+            term = await self._claims.raise_term(self.number)
+        except (Unavailable, Unknown, LeaseGone) as error:
+            log.info("event=raise_failed part=%d error=%s", self.number, error)
+            return False
+        finally:
+            self._raising.set()
+            self._raising = None
+        if term is None:
+            return False
+        self.part.term = term
+        return True
+
+    # -- what the watch says
+
+    def machine_changed(self, name: str, value: bytes | None) -> None:
+        now = self._loop.now()
+        record = records.read(value, MachineRecord) if value else None
+        known = self.part.machines.get(name)
+        if record is None or record.part != self.number:
+            if known is not None:
+                self.part.remove_machine(name, now)
+                self._clients.pop(name, None)
+            return
+        kind = self._catalog.get(record.type)
+        if known is None and kind is not None:
+            self.part.add_machine(name, record, kind, now)
+
+    def job_changed(self, ref: str) -> None:
+        record = self._book.active.get(ref)
+        if record is None:
+            self.part.drop_job(ref)
+            return
+        now = self._loop.now()
+        age = timedelta(seconds=self._loop.clock.today().timestamp() - record.accepted)
+        self.part.add_job(record, now - max(ZERO, age), self._window, now)
+
+    # -- reports
+
+    async def checkin(self, report: Report) -> ReportAnswer | None:
+        """Answer a report. None: can't act on it now, the worker should try elsewhere or again."""
+        machine = self.part.machines.get(report.machine)
+        if machine is None:
+            machine = await self._register(report)
+            if machine is None:
+                return None
+        if report.token > self.part.term and not await self.raise_term():
+            return None
+        if not self._claims.acting(self.number) or self.part.machines.get(report.machine) is not machine:
+            return None
+        fresh = self.take_in(machine, report, checkin=True)
+        now = self._loop.now()
+        if fresh:
+            deadline = now + self._settings.operator.scheduling.round
+            self.planner.fill(machine, now, lambda: self._loop.now() > deadline)
+        commands = self.part.commands(machine, now, starts=fresh) if fresh else []
+        machine.answered = now
+        if not machine.fenced:
+            self._fence(machine)
+        return ReportAnswer(self.part.term, commands)
+
+    async def _register(self, report: Report) -> Machine | None:
+        if report.type not in self._catalog or not self._claims.acting(self.number):
+            return None
+        record = MachineRecord(self.number, report.address, report.type, report.zone, report.spot)
+        written = self.registrar.add(report.machine, record)
+        self.registrar.start(self._claims)
+        await self._loop.first(written, REGISTER_LIMIT)
+        machine = self.part.machines.get(report.machine)
+        if machine is not None and written.done and written.result and not report.tasks and report.token == 0:
+            # We made it a member, in this term, so nobody has ever been entitled to start anything on it:
+            # there is no one to fence off.
+            machine.pristine = True
+        return machine
+
+    def take_in(self, machine: Machine, report: Report, checkin: bool) -> bool:
+        now = self._loop.now()
+        events = self.part.on_report(machine, report, checkin, now)
+        if events is None:
+            return False
+        if events.progressed:
+            self.progress |= events.progressed
+            self._progressed()
+        if not self.part.settled:
+            self.part.settle()
+        if events.sick:
+            self.group.spawn(self._retire_sick(machine), "retire")
+        return True
+
+    async def _retire_sick(self, machine: Machine) -> None:
+        """A machine that fails everything is worth nothing: drain it, then have it deleted."""
+        for placement in list(machine.placements.values()):
+            self.part.stop(placement, timedelta(seconds=placement.job.spec.save_s))
+        await self._loop.sleep(timedelta(seconds=3))
+        self.delete([machine.name])
+
+    # -- rounds
+
+    async def _rounds(self) -> None:
+        while True:
+            await self._loop.sleep(ROUND)
+            if not self._claims.acting(self.number):
+                continue
+            now = self._loop.now()
+            deadline = now + self._settings.operator.scheduling.round
+
+            def over(deadline: timedelta = deadline) -> bool:
+                return self._loop.now() > deadline
+
+            self._expire(now)
+            self._notices(now)
+            self.part.settle()
+            self.planner.gangs(now, over)
+            if not over():
+                self.planner.make_room_for_arrays(now)
+            self.planner.feedback(now)
+            await self._urgent_halts()
+            await self._seek_shares()
+
+    def _expire(self, now: timedelta) -> None:
+        lost = self.part.expire(now, self._settings.machine_lease, self.grace)
+        for machine in lost:
+            machine.lost_at = now
+        if lost:
+            names = ",".join(machine.name for machine in lost)
+            log.info("event=machines_lost part=%d machines=%s", self.number, names)
+        # Deleted only if it stays silent: when we could not answer for a while, all come back by themselves.
+        silent = [one for one in self.part.machines.values() if not one.alive and one.lost_at is not None]
+        patience = LOST_PATIENCE if 3 * len(silent) <= len(self.part.machines) + 3 else 5 * LOST_PATIENCE
+        names = [one.name for one in silent if now - one.lost_at > patience]
+        if names:
+            self.delete(names)
+
+    def _notices(self, now: timedelta) -> None:
+        """Use what is left of a machine that the cloud takes back."""
+        for machine in self.part.machines.values():
+            if machine.notice is None:
+                continue
+            left = machine.notice - now
+            for placement in list(machine.placements.values()):
+                if placement.stopping:
+                    continue
+                spec = placement.job.spec
+                if placement.running_since is not None:
+                    ran = now - placement.running_since
+                    if timedelta(seconds=spec.estimate_s) - ran < left:
+                        continue  # it may well finish in time
+                grace = timedelta(seconds=spec.save_s)
+                if spec.gang:
+                    self.part.stop_gang(placement.job, grace if spec.checkpoint_s else ZERO)
+                else:
+                    self.part.stop(placement, grace if spec.checkpoint_s else ZERO)
+
+    async def _urgent_halts(self) -> None:
+        """A gang's tasks must hear of their stop close together: don't wait for reports to carry it."""
+        machines = {
+            placement.machine
+            for job in self.part.jobs.values()
+            if job.spec.gang
+            for placement in job.placed.values()
+            if placement.stopping and placement.halted_at is None and placement.phase is not Phase.SENT
+        }
+        for machine in machines:
+            commands = self.part.commands(machine, self._loop.now(), starts=False)
+            self.group.spawn(self.direct(machine, commands), "halt")
+
+    # -- shares
+
+    async def _seek_shares(self) -> None:
+        lacks, self.planner.short_of_share = self.planner.short_of_share, {}
+        for team, lack in lacks.items():
+            if not await self._shares.raise_own(self.number, team, lack):
+                message = self._shares.ask(self.number, team, lack)
+                if message is not None:
+                    self.group.spawn(self._ask(message), "ask-share")
+
+    async def _ask(self, message: mesh_wire.Lack) -> None:
+        self.ask(message)
+
+    ask: Callable[[mesh_wire.Lack], None] = staticmethod(lambda message: None)
+
+    async def give_share(self, message: mesh_wire.Lack) -> None:
+        """Another part lacks a share: give what we neither use nor can use soon."""
+        if not self.part.settled or not self._claims.acting(self.number):
+            return
+        cpus, gpus = self._shares.of(self.number, message.team)
+        used = self.part.usage[message.team]
+        spare = Room(cpus - used.cpus, gpus - used.accelerators)
+        soon = Room()
+        for job in self.part.jobs.values():
+            if job.spec.team != message.team:
+                continue
+            count = job.waiting_bits.bit_count()
+            if count:
+                room = sum(one.free.times(job.need) for one in self.part.machines.values() if one.usable)
+                soon.cpus += min(count, room) * job.need.cpus
+                soon.accelerators += min(count, room) * job.need.accelerators
+        spare.take(soon)
+        await self._shares.give(
+            self.number, message.part, message.team, Room(message.cpus, message.accelerators), spare
+        )
+
+    # -- stealing
+
+    def idle_bins(self) -> tuple[list[mesh_wire.Bin], dict[str, float]]:
+        """The free room of this part's machines, and where images lie in it."""
+        counts: dict[tuple, int] = {}
+        images: dict[str, float] = {}
+        for machine in self.part.machines.values():
+            if not machine.usable or machine.held_for is not None or machine.free.cpus < 1e-6:
+                continue
+            free = machine.free
+            key = (
+                machine.kind.name,
+                machine.zone,
+                machine.spot,
+                round(free.cpus, 3),
+                round(free.accelerators, 3),
+                round(free.memory_gb, 3),
+            )
+            counts[key] = counts.get(key, 0) + 1
+            for image in machine.images:
+                images[image] = images.get(image, 0.0) + free.cpus
+        return [mesh_wire.Bin(*key, count) for key, count in counts.items()], images
+
+    def summary(self) -> mesh_wire.PartSummary:
+        bins, images = self.idle_bins()
+        now = self._loop.now()
+        wants = [
+            mesh_wire.Want(
+                one.ref,
+                one.team,
+                one.need.cpus,
+                one.need.accelerators,
+                one.need.memory_gb,
+                one.count,
+                one.gang,
+                one.level,
+                one.guaranteed,
+                one.waited.total_seconds(),
+                one.job.spec.types,
+                one.job.spec.zone,
+                one.job.spec.spot,
+            )
+            for one in self.planner.shapes(now)[:200]
+        ]
+        running = {
+            job.ref: count
+            for job in self.part.jobs.values()
+            if (count := sum(one.running_since is not None for one in job.placed.values()))
+        }
+        used = {team: (one.cpus, one.accelerators) for team, one in self.part.usage.items() if one.tasks}
+        return mesh_wire.PartSummary(
+            self.number, self.part.term, self.part.settled, len(self.part.machines), bins, images, wants, running, used
+        )
+
+    async def on_steal(self, message: mesh_wire.Steal) -> None:
+        """An idle part wants work: give it tasks that wait here and fit there, in one conditional write."""
+        if not self.part.settled or not self._claims.acting(self.number):
+            return
+        bins = [[one, one.count] for one in message.bins]
+        changes: list[tuple[str, records.JobRecord]] = []
+        now = self._loop.now()
+        jobs = sorted(self.part.jobs.values(), key=lambda job: (not job.guaranteed, -job.level, job.accepted))
+        for job in jobs:
+            if len(changes) >= min(6, self._state.limits.txn_ops):
+                break
+            record = self._book.active.get(job.ref)
+            if record is None or len(record.ranges) > MOST_RANGES or not job.waiting_bits:
+                continue
+            taken = self._stealable(job, bins, message.images, now)
+            if taken:
+                ranges = record.ranges
+                while taken:
+                    first = lowest(taken)
+                    length = records.trailing_ones(taken >> first)
+                    taken &= ~records.span(first, first + length)
+                    ranges = records.give(ranges, first, first + length, message.thief)
+                changes.append(
+                    (job.ref, records.JobRecord(record.job, record.accepted, ranges, record.base, record.bits))
+                )
+        if changes:
+            await self._write_steal(changes, message.thief)
+
+    def _stealable(self, job: Job, bins: list[list], images: dict[str, float], now: timedelta) -> int:
+        """The waiting tasks of a job that the other part could start, as a bit set; takes their room from `bins`."""
+        spec = job.spec
+        waiting = job.waiting_bits
+        whole = spec.gang or spec.together or spec.spread
+        if whole and job.placed:
+            return 0  # placement rules look at all of the job's tasks: they stay in one part
+        room_here = sum(one.free.times(job.need) for one in self.part.machines.values() if one.usable)
+        wanted = waiting.bit_count() - (0 if whole else min(room_here, waiting.bit_count()))
+        if whole and room_here >= wanted:
+            return 0
+        if spec.image not in images and now - job.since < timedelta(seconds=1):
+            return 0
+        fitting = 0
+        used: list[tuple[list, int]] = []
+        for entry in bins:
+            bin_, count = entry
+            if not count or fitting >= wanted:
+                continue
+            if spec.types is not None and bin_.type not in spec.types:
+                continue
+            if (spec.zone is not None and spec.zone != bin_.zone) or (bin_.spot and not spec.spot):
+                continue
+            each = Room(bin_.cpus, bin_.accelerators, bin_.memory_gb).times(job.need)
+            if not each:
+                continue
+            machines = min(count, -(-(wanted - fitting) // each))
+            used.append((entry, machines))
+            fitting += each * machines
+        count = min(fitting, wanted)
+        if count <= 0 or (whole and fitting < wanted):
+            return 0
+        for entry, machines in used:
+            entry[1] -= machines
+        if whole:
+            return records.span(0, spec.tasks) & job.owned
+        taken = 0
+        for _ in range(count):  # from the far end, so that what stays is one piece
+            top = 1 << (waiting.bit_length() - 1)
+            waiting ^= top
+            taken |= top
+        return taken
+
+    async def _write_steal(self, changes: list[tuple[str, records.JobRecord]], thief: int) -> None:
+        conditions = [self._claims.condition(self.number)]
+        puts = []
+        held: list[tuple[Job, int]] = []
+        for ref, record in changes:
+            key = JOBS + ref
+            conditions.append(when(key, self._replica.mark(key)))
+            puts.append(put(key, records.write(record)))
+            job = self.part.jobs[ref]
+            keep = record.owned(self.number)
+            held.append((job, job.owned & ~keep))
+            job.owned &= keep  # nothing of it starts here while the write is on its way
+        try:
+            at = await self._state.transact(conditions, puts, Urgency.PROGRESS)
+        except (Conflicted, Unavailable, LeaseGone) as error:
+            log.debug("event=steal_failed part=%d error=%s", self.number, error)
+            if isinstance(error, Conflicted):
+                await self._refresh([JOBS + ref for ref, _ in changes])
+            for job, bits in held:
+                self._take_back(job, bits)
+        except Unknown:
+            # It may yet be applied: the tasks stay out of reach until another write has settled the key.
+            for ref, _ in changes:
+                self.group.spawn(self._settle(ref), "settle-steal")
+        else:
+            log.info("event=steal part=%d thief=%d jobs=%d", self.number, thief, len(changes))
+            for change in puts:
+                self._replica.learn(change.key, bytes(change.value), at)
+                self._push(change.key, bytes(change.value), at)
+
+    def _take_back(self, job: Job, bits: int) -> None:
+        record = self._book.active.get(job.ref)
+        if record is not None and self.part.jobs.get(job.ref) is job:
+            job.owned |= bits & record.owned(self.number)
+
+    async def _refresh(self, keys: list[str]) -> None:
+        try:
+            await self._book.refresh(keys)
+        except Unavailable:
+            log.debug("event=refresh_failed")
+
+    async def _settle(self, ref: str) -> None:
+        """Rewrite a job's record as it is, so that a lost transaction can't be applied any more."""
+        key = JOBS + ref
+        while True:
+            try:
+                found = await self._state.get(key, Urgency.COMPLETE)
+                if found is None:
+                    return
+                at = await self._state.transact([when(key, found.revision)], [put(key, found.value)], Urgency.COMPLETE)
+                self._replica.learn(key, bytes(found.value), at)
+                self._push(key, bytes(found.value), at)
+                self.job_changed(ref)
+                return
+            except (Unavailable, Unknown, Conflicted, LeaseGone):
+                await self._loop.sleep(timedelta(milliseconds=500))
+
+    # -- members leave
+
+    async def forget_machines(self, names: list[str]) -> None:
+        """Machines that the cloud says are gone: their tasks are too."""
+        now = self._loop.now()
+        for name in names:
+            self.part.remove_machine(name, now)
+            self._clients.pop(name, None)
+        self.part.settle()
+        keys = [MACHINES + name for name in names if self._replica.mark(MACHINES + name)]
+        if not keys or self.number not in self._claims.parts:
+            return
+        try:
+            at = await self._state.transact(
+                [self._claims.condition(self.number)], [remove(key) for key in keys], Urgency.PROGRESS
+            )
+        except (Unavailable, Unknown, Conflicted, LeaseGone) as error:
+            log.info("event=forget_failed machines=%d error=%s", len(keys), error)
+            return
+        for key in keys:
+            self._replica.learn(key, None, at)
+            self._push(key, None, at)
+
+    def batch(self) -> list[Progress]:
+        """Newly done tasks to be written down."""
+        found = []
+        for ref in list(self.progress):
+            job = self.part.jobs.get(ref)
+            if job is None or not job.done_here:
+                self.progress.discard(ref)
+                continue
+            found.append(Progress(ref, job.done_here, {self.number}))
+        return found
--- /dev/null
+++ b/badgerroute/coordination/shares.py
@@ -0,0 +1,152 @@
+"""Teams' limits, divided among the parts as shares.
+
+One key per team holds every part's share, and their sum never exceeds the limit. A part's owner starts tasks only
+within its share, raises its own from what nobody holds, and lowers its own, or gives it to another part, only by
+what is unused.
+"""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from badgerroute.protocol.mesh import Lack
+from badgerroute.protocol.state import Condition
+from badgerroute.scheduling.model import EPSILON, Room
+from badgerroute.settings import Settings, Team
+from badgerroute.storage import records
+from badgerroute.storage.budget import Urgency
+from badgerroute.storage.records import ShareRecord
+from badgerroute.storage.replica import SHARES, Replica
+from badgerroute.storage.state import Conflicted, LeaseGone, StateClient, Unavailable, Unknown, put, when
+from badgerroute.transport.loop import Loop
+
+log = logging.getLogger("badgerroute.shares")
+NONE = (0.0, 0.0)
+ASK_AGAIN = timedelta(seconds=1)
+
+
+class Shares:
+    def __init__(
+        self,
+        settings: Settings,
+        loop: Loop,
+        state: StateClient,
+        replica: Replica,
+        pushed: Callable[[str, bytes | None, int], None],
+        condition: Callable[[int], Condition | None],
+    ) -> None:
+        self._loop, self._state, self._replica = loop, state, replica
+        self._pushed, self._condition = pushed, condition
+        self.teams: dict[str, Team] = {team.name: team for team in settings.params.teams}
+        self._records: dict[str, ShareRecord] = {}
+        self._asked: dict[tuple[int, str], timedelta] = {}
+        self._writing: set[str] = set()
+        self._committed: dict[tuple[int, str], tuple[float, float]] = {}  # lower bound while a write is on its way
+        replica.listen(SHARES, self._changed)
+
+    def _changed(self, key: str, value: bytes | None, revision: int) -> None:
+        team = key.removeprefix(SHARES)
+        if value is None:
+            self._records.pop(team, None)
+        else:
+            self._records[team] = records.read(value, ShareRecord)
+
+    def _record(self, team: str) -> ShareRecord:
+        return self._records.get(team) or ShareRecord({})
+
+    def of(self, part: int, team: str) -> tuple[float, float]:
+        """What a part may use of a team's limit. While we give some away, it counts as given already."""
+        share = self._record(team).shares.get(str(part), NONE)
+        low = self._committed.get((part, team))
+        return share if low is None else (min(share[0], low[0]), min(share[1], low[1]))
+
+    def unheld(self, team: str) -> Room:
+        limit = self.teams[team]
+        held = self._record(team).shares.values()
+        return Room(limit.cpus_max - sum(one[0] for one in held), limit.gpus_max - sum(one[1] for one in held))
+
+    async def raise_own(self, part: int, team: str, lack: Room) -> bool:
+        """Take what is lacking from what nobody holds; whether all of it was there."""
+        if team not in self.teams or team in self._writing:
+            return False
+        free = self.unheld(team)
+        cpus = max(0.0, min(lack.cpus, free.cpus))
+        gpus = max(0.0, min(lack.accelerators, free.accelerators))
+        if cpus > EPSILON or gpus > EPSILON:
+            share = self.of(part, team)
+            await self._write(team, part, {part: (share[0] + cpus, share[1] + gpus)})
+        return cpus >= lack.cpus - EPSILON and gpus >= lack.accelerators - EPSILON
+
+    def ask(self, part: int, team: str, lack: Room) -> Lack | None:
+        """The question to the siblings, not more than once in a while."""
+        now = self._loop.now()
+        if now - self._asked.get((part, team), -ASK_AGAIN) < ASK_AGAIN:
+            return None
+        self._asked[part, team] = now
+        return Lack(part, team, lack.cpus, lack.accelerators)
+
+    async def give(self, giver: int, taker: int, team: str, lack: Room, spare: Room) -> None:
+        """Move some of a part's unused share to another part."""
+        if team not in self.teams or team in self._writing or giver == taker:
+            return
+        cpus = max(0.0, min(lack.cpus, spare.cpus))
+        gpus = max(0.0, min(lack.accelerators, spare.accelerators))
+        if cpus <= EPSILON and gpus <= EPSILON:
+            return
+        mine = self.of(giver, team)
+        other = self._record(team).shares.get(str(taker), NONE)
+        low = (mine[0] - cpus, mine[1] - gpus)
+        self._committed[giver, team] = low  # from now on nothing starts in what is being given
+        try:
+            moved = await self._write(team, giver, {giver: low, taker: (other[0] + cpus, other[1] + gpus)})
+            if moved:
+                log.info("event=share_moved team=%s from=%d to=%d cpus=%.1f", team, giver, taker, cpus)
+        finally:
+            self._committed.pop((giver, team), None)
+
+    async def _write(self, team: str, writer: int, changed: dict[int, tuple[float, float]]) -> bool:
+        condition = self._condition(writer)
+        if condition is None:
+            return False
+        shares = dict(self._record(team).shares)
+        for part, share in changed.items():
+            shares[str(part)] = (round(share[0], 6), round(share[1], 6))
+        limit = self.teams[team]
+        if (
+            sum(one[0] for one in shares.values()) > limit.cpus_max + EPSILON
+            or sum(one[1] for one in shares.values()) > limit.gpus_max + EPSILON
+        ):
+            return False
+        key = SHARES + team
+        value = records.write(ShareRecord(shares))
+        mark = self._replica.mark(key)
+        self._writing.add(team)
+        try:
+            at = await self._state.transact([condition, when(key, mark)], [put(key, value)], Urgency.COMPLETE)
+        except (Conflicted, Unknown) as error:
+            log.debug("event=share_unsettled team=%s error=%s", team, error)
+            await self._settle(key, mark, unknown=isinstance(error, Unknown))
+            return False
+        except (Unavailable, LeaseGone):
+            return False
+        finally:
+            self._writing.discard(team)
+        self._replica.learn(key, bytes(value), at)
+        self._pushed(key, bytes(value), at)
+        return True
+
+    async def _settle(self, key: str, mark: int, unknown: bool) -> None:
+        """Read the key back. While a lost transaction may still be applied, rewriting the key rules that out."""
+        while True:
+            try:
+                item = await self._state.get(key, Urgency.COMPLETE)
+                if item is not None:
+                    self._replica.learn(key, bytes(item.value), item.revision)
+                if not unknown or (item.revision if item else 0) != mark:
+                    return
+                value = item.value if item else records.write(ShareRecord({}))
+                at = await self._state.transact([when(key, mark)], [put(key, value)], Urgency.COMPLETE)
+                self._replica.learn(key, bytes(value), at)
+                return
+            except (Conflicted, Unknown, Unavailable):
+                await self._loop.sleep(timedelta(milliseconds=300))
--- /dev/null
+++ b/badgerroute/coordination/split.py
@@ -0,0 +1,61 @@
+"""Which part gets which tasks of a new job: by cached images, else by free slots (the paper: by input data)."""
+
+from collections.abc import Sequence
+
+from badgerroute.protocol.mesh import PartSummary
+from badgerroute.protocol.users import Submission
+from badgerroute.scheduling.model import Room, need_of
+
+
+def _free_slots(job: Submission, summary: PartSummary) -> int:
+    need = need_of(job)
+    return sum(
+        one.count * Room(one.cpus, one.accelerators, one.memory_gb).times(need)
+        for one in summary.bins
+        if (job.types is None or one.type in job.types)
+        and (job.zone is None or job.zone == one.zone)
+        and (job.spot or not one.spot)
+    )
+
+
+def _queued(summary: PartSummary) -> float:
+    return sum(want.count * max(want.cpus, want.accelerators, 0.01) for want in summary.wants)
+
+
+def weights(job: Submission, summaries: Sequence[PartSummary], size: int) -> list[float]:
+    by_part = {summary.part: summary for summary in summaries}
+    parts = [by_part.get(part) for part in range(size)]
+    free = [_free_slots(job, one) if one else 0 for one in parts]
+    cached = [
+        min(free[number], int(one.images.get(job.image, 0.0) / max(job.cpus, 0.01))) if one else 0
+        for number, one in enumerate(parts)
+    ]
+    if sum(cached) >= job.tasks:
+        return [float(one) for one in cached]
+    if sum(free) > 0:
+        return [float(one) for one in free]
+    # Nothing is free: the part with the shortest queue for its size will come to it first.
+    return [(one.machines + 1.0) / (_queued(one) + 10.0) if one else 0.01 for one in parts]
+
+
+def split(job: Submission, summaries: Sequence[PartSummary], size: int) -> list[tuple[int, int, int]]:
+    """Ranges (part, first, one past the last) that cover all tasks."""
+    shares = weights(job, summaries, size)
+    best = max(range(size), key=lambda part: (shares[part], -part))
+    if job.gang or job.together or job.spread or job.tasks == 1:
+        return [(best, 0, job.tasks)]
+    total = sum(shares)
+    if total <= 0:
+        shares, total = [1.0] * size, float(size)
+    ranges: list[tuple[int, int, int]] = []
+    first, seen = 0, 0.0
+    for part in range(size):
+        seen += shares[part]
+        end = round(job.tasks * seen / total)
+        if end > first:
+            ranges.append((part, first, end))
+            first = end
+    if first < job.tasks:
+        part, start, _ = ranges.pop() if ranges else (best, 0, 0)
+        ranges.append((part, start, job.tasks))
+    return ranges
--- /dev/null
+++ b/badgerroute/daemon.py
@@ -0,0 +1,30 @@
+"""One controller on the real system: the clock, the sockets and the loop that everything else is handed."""
+
+import gc
+import logging
+
+from badgerroute.coordination.controller import Controller
+from badgerroute.settings import Settings
+from badgerroute.transport.clock import SystemClock
+from badgerroute.transport.loop import Group, Loop, SelectorPoller
+from badgerroute.transport.net import TcpNetwork
+
+log = logging.getLogger("badgerroute")
+
+
+def run(settings: Settings) -> int:
+    poller = SelectorPoller()
+    loop = Loop(SystemClock(), poller)
+    group = Group(loop, settings.platform.host_name)
+    gc.freeze()  # modules and settings stay for ever: no collection need look at them again
+    gc.set_threshold(20_000, 20, 50)
+    controller = Controller(settings, loop, TcpNetwork(loop, poller), group)
+    try:
+        loop.run(loop.spawn(controller.run(), "main"))
+    except KeyboardInterrupt:
+        group.cancel()
+        return 130
+    except OSError as error:
+        log.error("event=cannot_listen error=%s", error)
+        return 1
+    return 0
--- /dev/null
+++ b/badgerroute/protocol/cloud.py
@@ -0,0 +1,61 @@
+"""Controllers -> cloud."""
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+Amount = Annotated[float, Meta(ge=0)]
+
+
+class MachineType(Struct, frozen=True):
+    name: str = field(name="label")
+    cpus: Amount
+    accelerators: Amount
+    memory_gb: Amount = field(name="ram_gb")
+    cache_gb: Amount = field(name="local_gb")
+    fetch_gb_per_s: Amount
+    price: Amount
+    spot_price: Amount = field(name="low_price")
+    boot_s: Amount = field(name="startup_s")
+    zones: list[str] = field(name="pastures")
+
+
+class Catalog(Struct):
+    types: list[MachineType] = field(name="breeds")
+
+
+class RentalRequest(Struct):
+    request: str = field(name="hire")
+    type: str = field(name="breed")
+    zone: str = field(name="pasture")
+    spot: bool = field(name="strays")
+    count: int = field(name="number")
+
+
+class Rented(Struct):
+    machines: list[str] = field(name="mounts")
+
+
+class Deletion(Struct):
+    machines: list[str] = field(name="mounts")
+
+
+class ListedMachine(Struct):
+    name: str = field(name="ref")
+    address: str
+    type: str = field(name="breed")
+    zone: str = field(name="pasture")
+    spot: bool = field(name="strays")
+    state: Literal["booting", "running", "failed"] = field(name="condition")
+    age_s: float = field(name="held_s", default=0.0)
+
+
+class MachineList(Struct):
+    machines: list[ListedMachine] = field(name="mounts")
+    more: bool = False
+
+
+catalog_decoder = msgspec.json.Decoder(Catalog)
+rented_decoder = msgspec.json.Decoder(Rented)
+list_decoder = msgspec.json.Decoder(MachineList)
--- /dev/null
+++ b/badgerroute/protocol/mesh.py
@@ -0,0 +1,102 @@
+"""Controllers <-> controllers: msgpack structs, one per frame. A lost message costs time, never safety."""
+
+import msgspec
+from msgspec import Struct
+
+
+class Bin(Struct, array_like=True):
+    """Machines with the same free room."""
+
+    type: str
+    zone: str
+    spot: bool
+    cpus: float
+    accelerators: float
+    memory_gb: float
+    count: int
+
+
+class Want(Struct, array_like=True):
+    """Waiting tasks of one job in one part."""
+
+    ref: str
+    team: str
+    cpus: float
+    accelerators: float
+    memory_gb: float
+    count: int
+    gang: bool
+    level: int
+    guaranteed: bool
+    waited_s: float
+    types: list[str] | None
+    zone: str | None
+    spot: bool
+
+
+class PartSummary(Struct):
+    part: int
+    term: int
+    settled: bool
+    machines: int
+    bins: list[Bin]
+    images: dict[str, float]  # image -> free processors on machines that cache it
+    wants: list[Want]
+    running: dict[str, int]
+    used: dict[str, tuple[float, float]]
+
+
+class Gossip(Struct, tag="gossip"):
+    """What a controller tells the others a few times a second."""
+
+    host: str
+    lease: int
+    ready: bool
+    booting: int
+    parts: list[PartSummary]
+
+
+class Push(Struct, tag="push"):
+    """A change in the state service, told early."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+class Steal(Struct, tag="steal"):
+    """An idle part asks a busy one for waiting tasks; the busy one's owner decides and writes."""
+
+    victim: int
+    thief: int
+    bins: list[Bin]
+    images: dict[str, float]
+
+
+class Lack(Struct, tag="lack"):
+    """A part lacks a share of a team's limit; who has it unused may give it."""
+
+    part: int
+    team: str
+    cpus: float
+    accelerators: float
+
+
+class Borrow(Struct, tag="borrow"):
+    """A part too small for a gang asks another part for free machines."""
+
+    part: int
+    lender: int
+    ref: str
+    cpus: float
+    accelerators: float
+    memory_gb: float
+    count: int
+    types: list[str] | None
+    zone: str | None
+    spot: bool
+
+
+Message = Gossip | Push | Steal | Lack | Borrow
+encoder = msgspec.msgpack.Encoder()
+decoder = msgspec.msgpack.Decoder(Message)
--- /dev/null
+++ b/badgerroute/protocol/state.py
@@ -0,0 +1,78 @@
+"""Controllers -> state service."""
+
+from typing import Any
+
+import msgspec
+from msgspec import UNSET, Raw, Struct, UnsetType, field
+
+
+class Item(Struct):
+    key: str
+    value: Raw = Raw(b"null")
+    revision: int = field(name="mark", default=0)
+    lease: int | None = field(name="tether", default=None)
+
+
+class Missing(Struct):
+    revision: int = field(name="ledger", default=0)
+
+
+class Listing(Struct):
+    items: list[Item] = field(name="rows")
+    revision: int = field(name="ledger")
+    more: bool = False
+
+
+class Condition(Struct):
+    key: str
+    revision: int = field(name="mark")
+
+
+class Put(Struct, omit_defaults=True):
+    key: str = field(name="write")
+    value: Any
+    lease: int | UnsetType = field(name="tether", default=UNSET)
+
+
+class Remove(Struct):
+    key: str = field(name="remove")
+
+
+class Transaction(Struct):
+    conditions: list[Condition] = field(name="if")
+    changes: list[Put | Remove] = field(name="apply")  # encoded only, never decoded
+
+
+class Applied(Struct):
+    revision: int = field(name="ledger")
+
+
+class Conflict(Struct):
+    failed: list[str]
+    revision: int = field(name="ledger", default=0)
+
+
+class Lease(Struct):
+    lease: int = field(name="tether")
+
+
+class Change(Struct):
+    """One change of a watched key: either `put` or `removed` names the key."""
+
+    revision: int = field(name="mark")
+    put: str | UnsetType = field(name="write", default=UNSET)
+    removed: str | UnsetType = field(name="remove", default=UNSET)
+    value: Raw = Raw(b"null")
+
+
+class Changes(Struct):
+    revision: int = field(name="ledger")
+    changes: list[Change] = field(name="log")
+
+
+item_decoder = msgspec.json.Decoder(Item)
+listing_decoder = msgspec.json.Decoder(Listing)
+applied_decoder = msgspec.json.Decoder(Applied)
+conflict_decoder = msgspec.json.Decoder(Conflict)
+lease_decoder = msgspec.json.Decoder(Lease)
+changes_decoder = msgspec.json.Decoder(Changes)
--- /dev/null
+++ b/badgerroute/protocol/users.py
@@ -0,0 +1,80 @@
+"""Users -> controllers: submissions, polls, cancellations."""
+
+import re
+from enum import Enum
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import UNSET, Meta, Struct, field
+
+from badgerroute.protocol.common import Malformed, decode
+
+REF = re.compile(r"run-[0-9A-Za-z_.-]{1,60}\Z")
+Text = Annotated[str, Meta(min_length=1, max_length=120)]
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+Positive = Annotated[float, Meta(gt=0, le=1e9)]
+
+
+class Priority(Enum):
+    PRODUCTION = "prod"
+    URGENT = "urgent"
+    NORMAL = "normal"
+    IDLE = "idle"
+
+    @property
+    def level(self) -> int:
+        """Larger is more important."""
+        return _LEVELS[self]
+
+
+_LEVELS = {Priority.PRODUCTION: 3, Priority.URGENT: 2, Priority.NORMAL: 1, Priority.IDLE: 0}
+
+
+class Submission(Struct, frozen=True, omit_defaults=True):
+    """A job as its user describes it."""
+
+    ref: Text
+    job_class: Text = field(name="herd")
+    team: Text = field(name="crew")
+    kind: Literal["array", "group"] = field(name="gait")
+    priority: Priority = field(name="rank")
+    tasks: Annotated[int, Meta(ge=1, le=100_000)] = field(name="heads")
+    cpus: Amount
+    accelerators: Amount
+    memory_gb: Amount = field(name="ram_gb")
+    image: Text = field(name="brand")
+    image_gb: Amount
+    together: bool
+    spread: bool
+    spot: bool = field(name="strays")
+    estimate_s: Positive = field(name="trek_s")
+    checkpoint_s: Amount = field(name="waypoint_s")
+    save_s: Amount = field(name="pen_s")
+    types: list[Text] | None = field(name="breeds", default=None)
+    zone: Text | None = field(name="pasture", default=None)
+    deadline_s: Amount | None = field(name="market_s", default=None)
+
+    @property
+    def gang(self) -> bool:
+        return self.kind == "group"
+
+
+_submission = msgspec.json.Decoder(Submission)
+
+
+def parse_submission(body: bytes) -> Submission:
+    job = decode(body, _submission)
+    if not REF.match(job.ref):
+        raise Malformed("ref: not a job id")
+    if job.cpus == 0 and job.accelerators == 0 and job.memory_gb == 0:
+        raise Malformed("cpus: a task must take something of its machine")
+    return job
+
+
+class JobView(Struct, omit_defaults=True):
+    """A job's state as users see it."""
+
+    ref: str
+    condition: Literal["queued", "running", "done", "withdrawn"]
+    done: int | msgspec.UnsetType = UNSET
+    running: int | msgspec.UnsetType = UNSET
--- /dev/null
+++ b/badgerroute/protocol/workers.py
@@ -0,0 +1,81 @@
+"""Workers -> controllers (reports) and controllers -> workers (commands)."""
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import UNSET, Meta, Struct, UnsetType, field
+
+from badgerroute.protocol.common import NO_LIMIT, Malformed, decode
+
+Count = Annotated[int, Meta(ge=0)]
+Text = Annotated[str, Meta(min_length=1, max_length=120)]
+
+
+class TaskReport(Struct):
+    task: Text = field(name="head")
+    attempt: Count = field(name="try")
+    state: Literal["fetching", "waiting", "running", "flushing", "exited"] = field(name="condition")
+    cause: str | None = None
+    kept: bool | None = None
+
+
+class Report(Struct):
+    machine: Text = field(name="mount")
+    address: Text
+    type: Text = field(name="breed")
+    zone: Text = field(name="pasture")
+    spot: bool = field(name="strays")
+    session: Count = field(name="ride")
+    seq: Count = field(name="tally")
+    token: Count = field(name="crook")
+    notice_s: float | None = field(name="recall_s", default=None)
+    tasks: list[TaskReport] = field(name="heads", default_factory=list)
+
+    def newer_than(self, session: int, seq: int) -> bool:
+        return (self.session, self.seq) > (session, seq)
+
+
+_report = msgspec.json.Decoder(Report)
+
+
+def parse_report(body: bytes) -> Report:
+    report = decode(body, _report)
+    if max(report.session, report.seq, report.token) >= NO_LIMIT:
+        raise Malformed("a counter is out of range")
+    host, _, port = report.address.rpartition(":")
+    if not port.isdigit() or not 0 < int(port) < 65536 or not host:
+        raise Malformed("address: not host:port")
+    for task in report.tasks:
+        if task.attempt >= NO_LIMIT:
+            raise Malformed("try: out of range")
+        ref, slash, index = task.task.rpartition("/")
+        if not slash or not ref or not (index.isascii() and index.isdigit()) or len(index) > 6:
+            raise Malformed("head: not a task id")
+    return report
+
+
+def split_task(task: str) -> tuple[str, int]:
+    ref, _, index = task.rpartition("/")
+    return ref, int(index)
+
+
+class Command(Struct, omit_defaults=True):
+    kind: Literal["start", "halt", "clear"] = field(name="call")
+    task: str = field(name="head")
+    attempt: int = field(name="try")
+    grace_s: float | UnsetType = field(name="settle_s", default=UNSET)
+
+
+class ReportAnswer(Struct):
+    token: int = field(name="crook")
+    commands: list[Command] = field(name="calls", default_factory=list)
+
+
+class DirectCommands(Struct):
+    token: int = field(name="crook")
+    session: int = field(name="ride")
+    commands: list[Command] = field(name="calls", default_factory=list)
+
+
+class Redirect(Struct, omit_defaults=True):
+    owner: str | UnsetType = field(name="trail_boss", default=UNSET)
--- /dev/null
+++ b/badgerroute/scheduling/ladder.py
@@ -0,0 +1,69 @@
+"""The delay ladder: how far from its image a waiting task may go by now.
+
+After algorithm 2 of the paper: a machine that caches the image at once; one in a zone that caches it after
+tau * p; any after 2 * tau * p. No wait is longer than fetching the image would take, and a task whose image
+nothing in the part caches has nothing to wait for.
+"""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from enum import IntEnum
+
+from badgerroute.scheduling.model import Job, Machine
+from badgerroute.settings import Scheduling
+
+
+class Rung(IntEnum):
+    CACHED = 0
+    ZONE = 1
+    ANY = 2
+
+
+class Whereabouts:
+    """Where images are cached in a part, gathered once for a round of decisions."""
+
+    def __init__(self, machines: Iterable[Machine]) -> None:
+        self.zones: dict[str, set[str]] = {}
+        for machine in machines:
+            if machine.alive:
+                for image in machine.images:
+                    self.zones.setdefault(image, set()).add(machine.zone)
+
+    def cached(self, image: str) -> bool:
+        return image in self.zones
+
+    def in_zone(self, image: str, zone: str) -> bool:
+        return zone in self.zones.get(image, ())
+
+
+def run_time(job: Job, correction: float) -> timedelta:
+    """p: the mean run of the job's finished tasks, seeded by its owner's (corrected) estimate."""
+    if job.run_count:
+        return job.run_sum / job.run_count
+    return timedelta(seconds=job.spec.estimate_s * correction)
+
+
+def fetch_time(job: Job, machine: Machine) -> timedelta:
+    return timedelta(seconds=job.spec.image_gb / max(machine.kind.fetch_gb_per_s, 1e-6))
+
+
+def allowed(
+    job: Job, wait: timedelta, fetch: timedelta, images: Whereabouts, correction: float, settings: Scheduling
+) -> Rung:
+    """The highest rung that a task which has waited so long may use."""
+    if not images.cached(job.spec.image):
+        return Rung.ANY
+    step = settings.tau * run_time(job, correction)
+    cap = min(fetch, settings.wait_cap)
+    if wait >= min(2 * step, cap):
+        return Rung.ANY
+    if wait >= min(step, cap):
+        return Rung.ZONE
+    return Rung.CACHED
+
+
+def rung_of(job: Job, machine: Machine, images: Whereabouts) -> Rung:
+    """The rung that starting the job on this machine would be."""
+    if job.spec.image in machine.images:
+        return Rung.CACHED
+    return Rung.ZONE if images.in_zone(job.spec.image, machine.zone) else Rung.ANY
--- /dev/null
+++ b/badgerroute/scheduling/model.py
@@ -0,0 +1,216 @@
+"""Machines, jobs and attempts as one part sees them. Plain records: what decides lies in the modules beside."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from badgerroute.protocol.cloud import MachineType
+from badgerroute.protocol.users import Submission
+from badgerroute.storage.records import lowest
+
+EPSILON = 1e-6
+ZERO = timedelta(0)
+
+
+class Phase(Enum):
+    RESERVED = "reserved"  # decided, not yet told to the machine
+    SENT = "sent"  # told in the answer to a report; only a later report shows whether it arrived
+    FETCHING = "fetching"
+    WAITING = "waiting"
+    RUNNING = "running"
+    SAVING = "flushing"
+
+
+@dataclass(slots=True)
+class Room:
+    """An amount of processors, accelerators and memory."""
+
+    cpus: float = 0.0
+    accelerators: float = 0.0
+    memory_gb: float = 0.0
+
+    def add(self, other: "Room") -> None:
+        self.cpus += other.cpus
+        self.accelerators += other.accelerators
+        self.memory_gb += other.memory_gb
+
+    def take(self, other: "Room") -> None:
+        self.cpus -= other.cpus
+        self.accelerators -= other.accelerators
+        self.memory_gb -= other.memory_gb
+
+    def holds(self, other: "Room") -> bool:
+        return (
+            other.cpus <= self.cpus + EPSILON
+            and other.accelerators <= self.accelerators + EPSILON
+            and other.memory_gb <= self.memory_gb + EPSILON
+        )
+
+    def times(self, other: "Room") -> int:
+        """How many of `other` fit."""
+        counts = [
+            int((mine + EPSILON) / needed)
+            for mine, needed in (
+                (self.cpus, other.cpus),
+                (self.accelerators, other.accelerators),
+                (self.memory_gb, other.memory_gb),
+            )
+            if needed > 0
+        ]
+        return max(0, min(counts)) if counts else 1_000_000
+
+    def copy(self) -> "Room":
+        return Room(self.cpus, self.accelerators, self.memory_gb)
+
+
+def need_of(job: Submission) -> Room:
+    return Room(job.cpus, job.accelerators, job.memory_gb)
+
+
+def capacity_of(kind: MachineType) -> Room:
+    return Room(kind.cpus, kind.accelerators, kind.memory_gb)
+
+
+def allows(job: Submission, type_name: str, zone: str, spot: bool) -> bool:
+    """Whether the job may run on such a machine (its other tasks aside)."""
+    return (
+        (job.types is None or type_name in job.types)
+        and (job.zone is None or job.zone == zone)
+        and (job.spot or not spot)
+    )
+
+
+@dataclass(slots=True)
+class Placement:
+    """One attempt of one task on one machine, from the decision until the machine is provably rid of it."""
+
+    job: "Job"
+    index: int
+    attempt: int
+    machine: "Machine"
+    phase: Phase
+    since: timedelta
+    running_since: timedelta | None = None
+    sent: tuple[int, int] | None = None  # (session, seq) of the report whose answer carried the start
+    grace: timedelta | None = None  # set: it is to stop, with so much time to save
+    halted_at: timedelta | None = None
+
+    @property
+    def key(self) -> tuple[str, int]:
+        return self.job.ref, self.index
+
+    @property
+    def stopping(self) -> bool:
+        return self.grace is not None
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    name: str
+    address: str
+    kind: MachineType
+    zone: str
+    spot: bool
+    joined: timedelta
+    free: Room
+    session: int = 0
+    seq: int = -1
+    fenced: bool = False  # it has seen our term, and we have seen its task list since
+    pristine: bool = False  # nobody has ever given it a command: there is nobody to fence off
+    token_seen: int = 0
+    answered: timedelta | None = None  # when one of its reports was last answered by us
+    heard: timedelta | None = None
+    alive: bool = False
+    lost_at: timedelta | None = None  # when its lease was found to be over
+    notice: timedelta | None = None  # steady time at which the cloud takes it
+    draining: bool = False
+    placements: dict[tuple[str, int], Placement] = field(default_factory=dict)
+    exited: set[tuple[str, int, int]] = field(default_factory=set)  # reported as exited, not cleared yet
+    strays: set[tuple[str, int, int]] = field(default_factory=set)  # on it, but none of ours: to be halted
+    images: dict[str, float] = field(default_factory=dict)  # image -> GB, least recently used first
+    failed_jobs: dict[str, int] = field(default_factory=dict)
+    held_for: str | None = None  # gang whose turn it is here: nothing else starts
+    idle_since: timedelta | None = None
+    avoid_until: timedelta = ZERO
+
+    @property
+    def usable(self) -> bool:
+        return self.alive and self.fenced and not self.draining and self.notice is None
+
+    @property
+    def empty(self) -> bool:
+        return not self.placements and not self.exited and not self.strays
+
+    def touch_image(self, image: str, size_gb: float) -> None:
+        """Note an image as most recently used, and drop what the cache can no longer hold."""
+        self.images.pop(image, None)
+        self.images[image] = size_gb
+        total = sum(self.images.values())
+        while total > self.kind.cache_gb and len(self.images) > 1:
+            oldest = next(iter(self.images))
+            total -= self.images.pop(oldest)
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A job's tasks in this part."""
+
+    ref: str
+    spec: Submission
+    accepted: timedelta  # its acceptance, on this process's steady clock
+    owned: int  # bit sets of task numbers
+    done: int  # durable, all parts
+    window: int
+    need: Room
+    since: timedelta  # when its tasks here began to wait
+    done_here: int = 0  # reported done, not durable yet
+    placed: dict[int, Placement] = field(default_factory=dict)
+    placed_bits: int = 0
+    requeued: dict[int, timedelta] = field(default_factory=dict)
+    gang_attempt: int | None = None
+    guaranteed: bool = False
+    desire: float = 0.0
+    booked: float = 0.0  # since the period began: slots in use, summed over samples
+    granted: float = 0.0
+    samples: int = 0
+    starved: bool = False  # tasks waited at some time of the period
+    period_began: timedelta | None = None
+    run_sum: timedelta = ZERO
+    run_count: int = 0
+    failures: int = 0
+    failed_on: set[str] = field(default_factory=set)
+    blocked_until: timedelta = ZERO
+
+    @property
+    def waiting_bits(self) -> int:
+        left = self.owned & ~(self.done | self.done_here | self.placed_bits)
+        if left and not self.spec.gang:
+            finished = self.done | self.done_here
+            base = lowest(~finished & (finished + 1))
+            left &= (1 << (base + self.window)) - 1
+        return left
+
+    @property
+    def level(self) -> int:
+        return self.spec.priority.level
+
+    @property
+    def finished(self) -> bool:
+        return (self.done | self.done_here).bit_count() >= self.spec.tasks
+
+    def waited(self, index: int, now: timedelta) -> timedelta:
+        return now - self.requeued.get(index, self.since)
+
+    def place(self, placement: Placement) -> None:
+        self.placed[placement.index] = placement
+        self.placed_bits |= 1 << placement.index
+        self.requeued.pop(placement.index, None)
+
+    def unplace(self, index: int) -> None:
+        self.placed.pop(index, None)
+        self.placed_bits &= ~(1 << index)
+
+    def zones(self) -> Iterator[str]:
+        for placement in self.placed.values():
+            yield placement.machine.zone
--- /dev/null
+++ b/badgerroute/scheduling/part.py
@@ -0,0 +1,428 @@
+"""One part: its machines, its share of the jobs, and what their reports prove.
+
+This is the bookkeeping that safety rests on (docs/safety.md). It is deterministic: state, message and time in,
+commands out. It has no sockets and no clock of its own.
+"""
+
+import logging
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from badgerroute.protocol.cloud import MachineType
+from badgerroute.protocol.workers import Command, Report, TaskReport, split_task
+from badgerroute.scheduling.model import ZERO, Job, Machine, Phase, Placement, Room, capacity_of
+from badgerroute.storage.records import JobRecord, MachineRecord
+
+log = logging.getLogger("badgerroute.part")
+
+PHASES = {
+    "fetching": Phase.FETCHING,
+    "waiting": Phase.WAITING,
+    "running": Phase.RUNNING,
+    "flushing": Phase.SAVING,
+}
+ATTEMPT_BITS = 24
+SICK_JOBS = 2  # so many different jobs failing on a machine make it suspect
+SICK_TRIES = 3
+BACKOFF = timedelta(seconds=2)
+MOST_BACKOFF = timedelta(seconds=60)
+
+
+@dataclass(slots=True)
+class Usage:
+    """What a team's tasks use, everything that may be on a machine included."""
+
+    cpus: float = 0.0
+    accelerators: float = 0.0
+    tasks: int = 0
+
+
+class Estimates:
+    """By job class, how actual run times compare to the owners' estimates; corrected as runs finish."""
+
+    def __init__(self) -> None:
+        self._ratio: dict[str, tuple[float, float]] = {}  # sum of ratios, weight
+
+    def learn(self, job_class: str, estimate: timedelta, actual: timedelta) -> None:
+        if estimate <= ZERO or actual <= ZERO:
+            return
+        ratio = min(10.0, max(0.1, actual / estimate))
+        total, weight = self._ratio.get(job_class, (1.0, 1.0))  # the estimate itself counts as one run
+        self._ratio[job_class] = (total * 0.95 + ratio, weight * 0.95 + 1.0)
+
+    def correction(self, job_class: str) -> float:
+        total, weight = self._ratio.get(job_class, (1.0, 1.0))
+        return total / weight
+
+
+@dataclass(slots=True)
+class Events:
+    """What a message changed that others must hear of."""
+
+    progressed: set[str] = field(default_factory=set)  # jobs with tasks newly done
+    freed: bool = False
+    sick: bool = False
+
+
+class Part:
+    def __init__(self, number: int, term: int, shares: Callable[[str], tuple[float, float]], now: timedelta) -> None:
+        self.number, self.term = number, term
+        self.fence = term  # machines must have seen at least this before their lists are the last word
+        self.shares = shares
+        self.claimed_at = now
+        self.machines: dict[str, Machine] = {}
+        self.jobs: dict[str, Job] = {}
+        self.usage: defaultdict[str, Usage] = defaultdict(Usage)
+        self.estimates = Estimates()
+        self.settled = False  # every member fenced or provably rid of its tasks: until then nothing is placed
+        self._counter = 0
+
+    # -- membership
+
+    def add_machine(self, name: str, record: MachineRecord, kind: MachineType, now: timedelta) -> Machine:
+        machine = Machine(name, record.address, kind, record.zone, record.spot, now, capacity_of(kind))
+        self.machines[name] = machine
+        return machine
+
+    def remove_machine(self, name: str, now: timedelta) -> None:
+        """The machine and everything on it are gone, provably."""
+        machine = self.machines.pop(name, None)
+        if machine is not None:
+            self.lose_tasks(machine, now)
+
+    def lose_tasks(self, machine: Machine, now: timedelta) -> None:
+        for placement in list(machine.placements.values()):
+            self.release(placement, now)
+        machine.exited.clear()
+
+    # -- jobs
+
+    def add_job(self, record: JobRecord, accepted: timedelta, window: int, now: timedelta) -> Job | None:
+        """Take over a job's record, new or changed; None if none of its tasks is ours."""
+        ref = record.job.ref
+        job = self.jobs.get(ref)
+        owned = record.owned(self.number)
+        if job is None:
+            if not owned:
+                return None
+            spec = record.job
+            need = Room(spec.cpus, spec.accelerators, spec.memory_gb)
+            job = Job(ref, spec, accepted, owned, record.done(), window, need, now)
+            self.jobs[ref] = job
+            return job
+        fresh = owned & ~job.owned
+        if fresh and not job.waiting_bits:
+            job.since = now
+        job.owned = owned
+        job.done |= record.done()
+        job.done_here &= ~job.done
+        if not owned and not job.placed:
+            del self.jobs[ref]
+            return None
+        return job
+
+    def drop_job(self, ref: str) -> None:
+        """The job is over (done or cancelled): none of its tasks may start, all must go."""
+        job = self.jobs.get(ref)
+        if job is None:
+            return
+        job.owned = 0
+        for placement in list(job.placed.values()):
+            if placement.phase is Phase.RESERVED:
+                self._forget(placement)
+            else:
+                placement.grace = ZERO
+        if not job.placed:
+            del self.jobs[ref]
+
+    # -- placements
+
+    def next_attempt(self) -> int:
+        """Term and counter together, so that no two owners ever produce the same number."""
+        self._counter += 1
+        return (self.term << ATTEMPT_BITS) | self._counter
+
+    def fits_share(self, job: Job, tasks: int = 1) -> int:
+        """How many of so many tasks the team's share still has room for."""
+        cpus, accelerators = self.shares(job.spec.team)
+        used = self.usage[job.spec.team]
+        fitting = Room(cpus - used.cpus, accelerators - used.accelerators).times(
+            Room(job.need.cpus, job.need.accelerators)
+        )
+        return max(0, min(tasks, fitting))
+
+    def place(self, job: Job, index: int, attempt: int, machine: Machine, now: timedelta, phase: Phase) -> Placement:
+        placement = Placement(job, index, attempt, machine, phase, now)
+        machine.placements[placement.key] = placement
+        machine.free.take(job.need)
+        machine.idle_since = None
+        job.place(placement)
+        used = self.usage[job.spec.team]
+        used.cpus += job.need.cpus
+        used.accelerators += job.need.accelerators
+        used.tasks += 1
+        return placement
+
+    def _forget(self, placement: Placement) -> None:
+        machine, job = placement.machine, placement.job
+        if machine.placements.pop(placement.key, None) is None:
+            return
+        machine.free.add(job.need)
+        job.unplace(placement.index)
+        used = self.usage[job.spec.team]
+        used.tasks -= 1
+        if used.tasks:
+            used.cpus -= job.need.cpus
+            used.accelerators -= job.need.accelerators
+        else:
+            used.cpus = used.accelerators = 0.0  # no rounding errors left behind
+        if not machine.placements:
+            machine.free = capacity_of(machine.kind)
+        if not job.placed:
+            job.gang_attempt = None
+            if not job.owned:
+                self.jobs.pop(job.ref, None)
+
+    def release(self, placement: Placement, now: timedelta) -> None:
+        """The task is provably not on the machine any more; unless it is done, it waits again."""
+        self._forget(placement)
+        job = placement.job
+        if not (job.done | job.done_here) >> placement.index & 1:
+            job.requeued[placement.index] = now
+        if job.spec.gang and job.placed:
+            self.stop_gang(job, ZERO)
+
+    def stop_gang(self, job: Job, grace: timedelta) -> None:
+        """All tasks of an attempt go together: without one of them the others run for nothing."""
+        for placement in list(job.placed.values()):
+            self.stop(placement, grace)
+
+    def stop(self, placement: Placement, grace: timedelta) -> None:
+        if placement.phase is Phase.RESERVED:
+            self._forget(placement)
+        elif placement.grace is None or grace < placement.grace:
+            placement.grace = grace
+
+    # -- messages from machines
+
+    def on_report(self, machine: Machine, report: Report, checkin: bool, now: timedelta) -> Events | None:
+        """Take in a machine's task list. `checkin`: a real report; the answer to `/do` or `/status` is not one.
+
+        None: the message is older than what is known already, and must change nothing.
+        """
+        if not report.newer_than(machine.session, machine.seq):
+            return None
+        events = Events()
+        if report.session > machine.session and machine.session:
+            # The lease expired in between: everything that was on the machine is dead.
+            self.lose_tasks(machine, now)
+            events.freed = True
+        machine.session, machine.seq = report.session, report.seq
+        machine.token_seen = max(machine.token_seen, report.token)
+        machine.heard = now
+        if checkin:
+            machine.alive = True
+        notice = None if report.notice_s is None else now + timedelta(seconds=max(0.0, report.notice_s))
+        machine.notice = notice
+        if report.token < self.fence and not machine.pristine:
+            # Another owner's commands may still reach it: the list is true, but it is not the last word.
+            machine.fenced = False
+            return events
+        machine.fenced = True
+        machine.exited.clear()
+        machine.strays.clear()
+        present: list[tuple[str, int, TaskReport]] = []
+        for task in report.tasks:
+            ref, index = split_task(task.task)
+            if task.state == "exited":
+                # Ends come first: a refused start must not make a task look free that an older attempt runs.
+                self._exited(machine, ref, index, task, events, now)
+            else:
+                present.append((ref, index, task))
+        seen: set[tuple[str, int]] = set()
+        for ref, index, task in present:
+            seen.add((ref, index))
+            self._present(machine, ref, index, task, now)
+        for key, placement in list(machine.placements.items()):
+            if key in seen or placement.phase is Phase.RESERVED:
+                continue
+            if placement.phase is Phase.SENT and not self._settles(placement, report, checkin):
+                continue
+            self.release(placement, now)
+            events.freed = True
+        if not machine.placements:
+            if machine.idle_since is None:
+                machine.idle_since = now
+        return events
+
+    @staticmethod
+    def _settles(placement: Placement, report: Report, checkin: bool) -> bool:
+        """Whether a start's absence from this message proves that it was not and will not be executed.
+
+        A worker keeps one report in flight and drops late answers, so only a later *report* proves it.
+        """
+        return checkin and placement.sent is not None and report.newer_than(*placement.sent)
+
+    def _present(self, machine: Machine, ref: str, index: int, task: TaskReport, now: timedelta) -> None:
+        phase = PHASES[task.state]
+        placement = machine.placements.get((ref, index))
+        if placement is None:
+            placement = self._adopt(machine, ref, index, task, phase, now)
+            if placement is None:
+                return
+        elif placement.attempt != task.attempt:
+            if placement.phase is Phase.SENT:
+                return  # the new attempt is refused with `in_use`; that exit will tell
+            placement.attempt = task.attempt
+        if phase is Phase.RUNNING and placement.running_since is None:
+            placement.running_since = now
+        if placement.phase is not phase:
+            placement.phase = phase
+        machine.touch_image(placement.job.spec.image, placement.job.spec.image_gb)
+
+    def _adopt(
+        self, machine: Machine, ref: str, index: int, task: TaskReport, phase: Phase, now: timedelta
+    ) -> Placement | None:
+        """A task that we did not start: a former owner's. Keep it if it is ours, else it has to go."""
+        job = self.jobs.get(ref)
+        if job is None or not job.owned >> index & 1 or index in job.placed:
+            log.info("event=stray_task machine=%s task=%s/%d", machine.name, ref, index)
+            machine.strays.add((ref, index, task.attempt))
+            return None
+        placement = self.place(job, index, task.attempt, machine, now, phase)
+        if job.spec.gang:
+            if job.gang_attempt is None:
+                job.gang_attempt = task.attempt
+            elif job.gang_attempt != task.attempt:
+                self.stop_gang(job, ZERO)
+        return placement
+
+    def _exited(self, machine: Machine, ref: str, index: int, task: TaskReport, events: Events, now: timedelta) -> None:
+        machine.exited.add((ref, index, task.attempt))
+        placement = machine.placements.get((ref, index))
+        if placement is not None and (placement.attempt != task.attempt or placement.phase is Phase.RESERVED):
+            placement = None  # an older attempt's end says nothing about this one
+        job = self.jobs.get(ref)
+        if job is None:
+            return
+        cause = task.cause or ""
+        if cause == "done":
+            self._finished(machine, job, index, placement, events, now)
+        elif placement is not None:
+            events.freed = True
+            self._failed(machine, job, placement, cause, events, now)
+            self.release(placement, now)
+
+    def _finished(
+        self, machine: Machine, job: Job, index: int, placement: Placement | None, events: Events, now: timedelta
+    ) -> None:
+        indices = range(job.spec.tasks) if job.spec.gang else (index,)
+        fresh = 0
+        for one in indices:  # a gang completes together: one done, all done
+            fresh |= 1 << one
+        fresh &= job.owned & ~(job.done | job.done_here)
+        if fresh:
+            job.done_here |= fresh
+            events.progressed.add(job.ref)
+        job.failures = 0
+        job.failed_on.clear()
+        machine.failed_jobs.clear()
+        if placement is not None:
+            events.freed = True
+            if placement.running_since is not None and fresh >> index & 1:
+                run = now - placement.running_since
+                job.run_sum += run
+                job.run_count += 1
+                if not (job.spec.checkpoint_s and job.requeued):
+                    self.estimates.learn(job.spec.job_class, timedelta(seconds=job.spec.estimate_s), run)
+            self._forget(placement)
+
+    def _failed(
+        self, machine: Machine, job: Job, placement: Placement, cause: str, events: Events, now: timedelta
+    ) -> None:
+        if cause == "error":
+            machine.failed_jobs[job.ref] = machine.failed_jobs.get(job.ref, 0) + 1
+            job.failed_on.add(machine.name)
+            job.failures += 1
+            if len(job.failed_on) > 2:
+                # It fails wherever it goes: a mistake in the job, most likely. Probe it seldom.
+                job.blocked_until = now + min(MOST_BACKOFF, BACKOFF * 2 ** min(10, len(job.failed_on)))
+            if len(machine.failed_jobs) >= SICK_JOBS or (
+                machine.failed_jobs[job.ref] >= SICK_TRIES and len(job.failed_on) <= 2
+            ):
+                machine.draining = True
+                events.sick = True
+                log.info("event=machine_sick machine=%s jobs=%d", machine.name, len(machine.failed_jobs))
+            else:
+                machine.avoid_until = now + timedelta(seconds=5)
+        elif cause in ("no_room", "in_use"):
+            machine.avoid_until = now + timedelta(seconds=2)
+        elif cause == "no_such":
+            job.blocked_until = now + BACKOFF
+
+    # -- answers
+
+    def commands(self, machine: Machine, now: timedelta, starts: bool) -> list[Command]:
+        """What a machine is to do. Starts go out once and only in the answer to a report (`starts`)."""
+        found: list[Command] = []
+        for ref, index, attempt in machine.strays:
+            found.append(Command("halt", f"{ref}/{index}", attempt, 0.0))
+        for ref, index, attempt in machine.exited:
+            if self._clearable(ref, index):
+                found.append(Command("clear", f"{ref}/{index}", attempt))
+        for placement in machine.placements.values():
+            if placement.grace is not None:
+                if placement.halted_at is None:
+                    placement.halted_at = now
+                found.append(
+                    Command(
+                        "halt",
+                        f"{placement.job.ref}/{placement.index}",
+                        placement.attempt,
+                        placement.grace.total_seconds(),
+                    )
+                )
+            elif starts and placement.phase is Phase.RESERVED:
+                placement.phase = Phase.SENT
+                placement.sent = (machine.session, machine.seq)
+                placement.since = now
+                machine.touch_image(placement.job.spec.image, placement.job.spec.image_gb)
+                found.append(Command("start", f"{placement.job.ref}/{placement.index}", placement.attempt))
+        return found
+
+    def _clearable(self, ref: str, index: int) -> bool:
+        """A done task is cleared only once that is durable: until then the machine is the only witness."""
+        job = self.jobs.get(ref)
+        return job is None or not job.done_here >> index & 1
+
+    # -- time
+
+    def expire(self, now: timedelta, lease: timedelta, grace: timedelta) -> list[Machine]:
+        """Machines whose lease is certainly over: their tasks are dead and wait again."""
+        lost = []
+        for machine in self.machines.values():
+            if machine.fenced and machine.answered is not None:
+                over = machine.answered + lease
+            else:  # a former owner may have answered it until its own grace ran out
+                over = max(self.claimed_at + grace, machine.answered or ZERO, machine.joined) + lease
+            if now > over and (machine.placements or not machine.fenced or machine.alive):
+                self.lose_tasks(machine, now)
+                machine.strays.clear()
+                machine.alive = False
+                machine.fenced = True
+                machine.idle_since = None
+                lost.append(machine)
+        return lost
+
+    def settle(self) -> bool:
+        if not self.settled:
+            # A stray's team is unknown, so what it uses can't be counted: wait until it is gone.
+            self.settled = all(machine.fenced and not machine.strays for machine in self.machines.values())
+            if self.settled:
+                log.info("event=part_settled part=%d term=%d machines=%d", self.number, self.term, len(self.machines))
+        return self.settled
+
+    def unsettled(self) -> Iterable[Machine]:
+        return [machine for machine in self.machines.values() if not machine.fenced or machine.strays]
--- /dev/null
+++ b/badgerroute/scheduling/planner.py
@@ -0,0 +1,405 @@
+"""Rounds of decisions for one part: fill a machine that reports, place gangs, make room, apply feedback."""
+
+import heapq
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from itertools import groupby
+
+from badgerroute.scheduling import af, ladder
+from badgerroute.scheduling.model import ZERO, Job, Machine, Phase, Placement, Room, allows
+from badgerroute.scheduling.objectives import Objectives
+from badgerroute.scheduling.part import Part
+from badgerroute.settings import Scheduling
+from badgerroute.storage.records import lowest
+
+log = logging.getLogger("badgerroute.planner")
+ORDER_KEPT = timedelta(milliseconds=250)
+PATIENCE = 3  # room is made by force once a third of the expected time to start has passed
+
+
+@dataclass(slots=True)
+class Shape:
+    """Waiting tasks of one kind: what the fleet and the other parts need to know of them."""
+
+    ref: str
+    team: str
+    need: Room
+    count: int
+    gang: bool
+    level: int
+    guaranteed: bool
+    waited: timedelta
+    job: Job
+
+
+class Planner:
+    def __init__(self, part: Part, settings: Scheduling, objectives: Objectives) -> None:
+        self.part = part
+        self._settings, self._objectives = settings, objectives
+        self._order: list[Job] = []
+        self._ordered_at = -timedelta(days=1)
+        self._images = ladder.Whereabouts([])
+        self._gang_cursor = 0
+        self._fill_cursor = 0
+        self.short_of_share: dict[str, Room] = {}  # what teams lacked in the last rounds
+        self.cut_short = 0  # rounds that ran out of time
+
+    # -- order
+
+    def _refresh(self, now: timedelta) -> None:
+        if now - self._ordered_at < ORDER_KEPT:
+            return
+        self._ordered_at = now
+        self._images = ladder.Whereabouts(self.part.machines.values())
+        waiting = [job for job in self.part.jobs.values() if job.waiting_bits and job.blocked_until <= now]
+        waiting.sort(key=lambda job: (self._class(job), job.accepted))
+        self._order = waiting
+
+    @staticmethod
+    def _class(job: Job) -> tuple[bool, int]:
+        return (not job.guaranteed, -job.level)
+
+    def _held(self, job: Job) -> float:
+        return len(job.placed) * (job.need.cpus + 8 * job.need.accelerators)
+
+    # -- arrays: on every report of a machine
+
+    def fill(self, machine: Machine, now: timedelta, over: Callable[[], bool]) -> int:
+        """Start array tasks in a machine's free room. `over` tells when the round's time is up."""
+        part = self.part
+        if not part.settled or not machine.usable or machine.avoid_until > now:
+            return 0
+        if machine.free.cpus <= 1e-6 and machine.free.memory_gb <= 1e-6:
+            return 0
+        self._refresh(now)
+        order = (
+            self._order[self._fill_cursor :] + self._order[: self._fill_cursor] if self._fill_cursor else self._order
+        )
+        started, looked = 0, 0
+        for beyond in (False, True):  # first within the jobs' desires; what is then left over, to any
+            for _, members in groupby(order, key=self._class):
+                jobs = [job for job in members if not job.spec.gang and job.waiting_bits]
+                if over():
+                    self.cut_short += 1
+                    self._fill_cursor = (self._fill_cursor + looked) % max(1, len(self._order))
+                    return started
+                looked += len(jobs)
+                if machine.held_for is None or self._may_pass(machine, jobs):
+                    started += self._fill_class(machine, jobs, now, beyond)
+        self._fill_cursor = 0
+        return started
+
+    def _may_pass(self, machine: Machine, jobs: list[Job]) -> bool:
+        """A machine held for a gang takes only work that the gang would not outrank."""
+        gang = self.part.jobs.get(machine.held_for or "")
+        if gang is None or not gang.waiting_bits:
+            machine.held_for = None
+            return True
+        return bool(jobs) and self._class(jobs[0]) < self._class(gang)
+
+    def _fill_class(self, machine: Machine, jobs: list[Job], now: timedelta, beyond: bool) -> int:
+        started = 0
+        for rung in ladder.Rung:
+            queue: list[tuple[float, int, Job]] = []
+            for number, job in enumerate(jobs):
+                if self._eligible(job, machine, rung, now, beyond):
+                    queue.append((self._held(job), number, job))
+            heapq.heapify(queue)
+            while queue:
+                _, number, job = heapq.heappop(queue)
+                if not self._start_one(job, machine, now, beyond):
+                    continue
+                started += 1
+                heapq.heappush(queue, (self._held(job), number, job))
+        return started
+
+    def _eligible(self, job: Job, machine: Machine, rung: ladder.Rung, now: timedelta, beyond: bool) -> bool:
+        spec = job.spec
+        if not machine.free.holds(job.need) or not allows(spec, machine.kind.name, machine.zone, machine.spot):
+            return False
+        if machine.name in job.failed_on or ladder.rung_of(job, machine, self._images) is not rung:
+            return False
+        if rung is not ladder.Rung.CACHED:
+            bits = job.waiting_bits
+            if not bits:
+                return False
+            wait = job.waited(lowest(bits), now)
+            correction = self.part.estimates.correction(spec.job_class)
+            fetch = ladder.fetch_time(job, machine)
+            if ladder.allowed(job, wait, fetch, self._images, correction, self._settings) < rung:
+                return False
+        if job.desire < 1.0:
+            self._begin_desire(job, now)
+        return beyond or len(job.placed) < job.desire
+
+    def _begin_desire(self, job: Job, now: timedelta) -> None:
+        free = sum(one.free.times(job.need) for one in self.part.machines.values() if one.usable)
+        af.begin(job, now, job.waiting_bits.bit_count(), free)
+
+    def _start_one(self, job: Job, machine: Machine, now: timedelta, beyond: bool) -> bool:
+        if not machine.free.holds(job.need) or (not beyond and len(job.placed) >= job.desire):
+            return False
+        bits = job.waiting_bits
+        if not bits or not self._zone_allowed(job, machine.zone, 1):
+            return False
+        if not self.part.fits_share(job):
+            self._lacks(job, bits.bit_count())
+            return False
+        self.part.place(job, lowest(bits), self.part.next_attempt(), machine, now, Phase.RESERVED)
+        return True
+
+    @staticmethod
+    def _zone_allowed(job: Job, zone: str, more: int) -> bool:
+        """`together` and `spread`, with all of the job's tasks that may be on machines in view."""
+        spec = job.spec
+        if spec.together and any(other != zone for other in job.zones()):
+            return False
+        if spec.spread and sum(other == zone for other in job.zones()) + more > (spec.tasks + 1) // 2:
+            return False
+        return True
+
+    def _lacks(self, job: Job, tasks: int) -> None:
+        lack = self.short_of_share.setdefault(job.spec.team, Room())
+        lack.cpus = max(lack.cpus, job.need.cpus * tasks)
+        lack.accelerators = max(lack.accelerators, job.need.accelerators * tasks)
+
+    # -- gangs: in rounds of their own
+
+    def gangs(self, now: timedelta, over: Callable[[], bool]) -> int:
+        """Place waiting gangs, each whole or not at all."""
+        if not self.part.settled:
+            return 0
+        self._refresh(now)
+        waiting = [job for job in self._order if job.spec.gang and not job.placed and job.waiting_bits]
+        if self._gang_cursor >= len(waiting):
+            self._gang_cursor = 0
+        placed = 0
+        for position in range(self._gang_cursor, len(waiting)):
+            if over():
+                self.cut_short += 1
+                self._gang_cursor = position
+                return placed
+            placed += self._place_gang(waiting[position], now)
+        self._gang_cursor = 0
+        return placed
+
+    def _place_gang(self, job: Job, now: timedelta) -> bool:
+        tasks = job.waiting_bits.bit_count()
+        if self.part.fits_share(job, tasks) < tasks:
+            self._lacks(job, tasks)
+            return False
+        correction = self.part.estimates.correction(job.spec.job_class)
+        wait = now - job.since
+        options: list[tuple[int, float, Machine]] = []
+        blocked_by_rung = False
+        for machine in self._candidates(job, now):
+            if not machine.free.holds(job.need) or machine.held_for not in (None, job.ref):
+                continue
+            rung = ladder.rung_of(job, machine, self._images)
+            fetch = ladder.fetch_time(job, machine)
+            if rung > ladder.allowed(job, wait, fetch, self._images, correction, self._settings):
+                blocked_by_rung = True
+                continue
+            options.append((rung, machine.free.cpus, machine))
+        chosen = self._choose(job, tasks, options)
+        if chosen is None:
+            if not blocked_by_rung:
+                self._make_room_for_gang(job, tasks, now)
+            return False
+        attempt = self.part.next_attempt()
+        job.gang_attempt = attempt
+        bits = job.waiting_bits
+        for machine in chosen:
+            index = lowest(bits)
+            bits &= bits - 1
+            self.part.place(job, index, attempt, machine, now, Phase.RESERVED)
+        for machine in self.part.machines.values():
+            if machine.held_for == job.ref:
+                machine.held_for = None
+        return True
+
+    def _candidates(self, job: Job, now: timedelta) -> list[Machine]:
+        spec = job.spec
+        return [
+            machine
+            for machine in self.part.machines.values()
+            if machine.usable
+            and machine.avoid_until <= now
+            and machine.name not in job.failed_on
+            and allows(spec, machine.kind.name, machine.zone, machine.spot)
+        ]
+
+    def _choose(self, job: Job, tasks: int, options: list[tuple[int, float, Machine]]) -> list[Machine] | None:
+        """Machines for all tasks of a gang: nearest image first, then the tightest fit."""
+        options = sorted(options, key=lambda one: (one[0], one[1], one[2].name))
+        if not job.spec.together:
+            return self._take(job, tasks, [machine for _, _, machine in options])
+        zones = dict.fromkeys(machine.zone for _, _, machine in options)
+        for zone in zones:
+            chosen = self._take(job, tasks, [machine for _, _, machine in options if machine.zone == zone])
+            if chosen is not None:
+                return chosen
+        return None
+
+    @staticmethod
+    def _take(job: Job, tasks: int, machines: list[Machine]) -> list[Machine] | None:
+        chosen: list[Machine] = []
+        per_zone: dict[str, int] = {}
+        most = (job.spec.tasks + 1) // 2 if job.spec.spread else tasks
+        for machine in machines:
+            for _ in range(machine.free.times(job.need)):
+                if len(chosen) == tasks:
+                    return chosen
+                if per_zone.get(machine.zone, 0) >= most:
+                    break
+                per_zone[machine.zone] = per_zone.get(machine.zone, 0) + 1
+                chosen.append(machine)
+        return chosen if len(chosen) == tasks else None
+
+    # -- preemption
+
+    def _may_stop(self, victim: Job, job: Job) -> bool:
+        if victim is job:
+            return False
+        if victim.level < job.level:
+            return True
+        return job.guaranteed and not victim.guaranteed and victim.spec.team != job.spec.team
+
+    @staticmethod
+    def _loss(placement: Placement, now: timedelta) -> float:
+        """Useful work that stopping a task throws away, in processor-seconds."""
+        spec = placement.job.spec
+        if placement.running_since is None:
+            return 0.0
+        ran = (now - placement.running_since).total_seconds()
+        kept = spec.save_s + 1.0 if spec.checkpoint_s else ran
+        return min(ran, kept) * max(spec.cpus, 0.01) * len(placement.job.placed if spec.gang else (0,))
+
+    def _clear_out(self, machine: Machine, job: Job, now: timedelta) -> tuple[float, list[Placement]] | None:
+        """The cheapest set of tasks to stop so that one task of the job fits, and what is lost with them."""
+        room = machine.free.copy()
+        victims: list[Placement] = []
+        loss = 0.0
+        stoppable = []
+        for placement in machine.placements.values():
+            if placement.stopping:
+                room.add(placement.job.need)  # it is on its way out already
+            elif placement.phase is not Phase.SENT and self._may_stop(placement.job, job):
+                stoppable.append((self._loss(placement, now), placement.key, placement))
+        if room.holds(job.need):
+            return 0.0, victims
+        for lost, _, placement in sorted(stoppable, key=lambda one: one[:2]):
+            victims.append(placement)
+            loss += lost
+            room.add(placement.job.need)
+            if room.holds(job.need):
+                return loss, victims
+        return None
+
+    def _patience(self, job: Job) -> timedelta:
+        return self._objectives.start_within(job) / PATIENCE
+
+    def _make_room_for_gang(self, job: Job, tasks: int, now: timedelta) -> None:
+        if now - job.since < self._patience(job):
+            return
+        options: list[tuple[float, str, Machine, list[Placement]]] = []
+        for machine in self._candidates(job, now):
+            if machine.held_for not in (None, job.ref):
+                continue
+            found = self._clear_out(machine, job, now)
+            if found is not None:
+                options.append((found[0], machine.name, machine, found[1]))
+        options.sort(key=lambda one: one[:2])
+        if job.spec.together and options:
+            zones: dict[str, list] = {}
+            for one in options:
+                zones.setdefault(one[2].zone, []).append(one)
+            enough = [group[:tasks] for group in zones.values() if len(group) >= tasks]
+            options = min(enough, key=lambda group: sum(one[0] for one in group)) if enough else []
+        if len(options) < tasks:
+            return
+        for _, _, machine, victims in options[:tasks]:
+            machine.held_for = job.ref
+            for victim in victims:
+                self._preempt(victim, job)
+
+    def _preempt(self, victim: Placement, job: Job) -> None:
+        spec = victim.job.spec
+        grace = timedelta(seconds=spec.save_s) if spec.checkpoint_s else ZERO
+        log.debug("event=preempt task=%s/%d for=%s", victim.job.ref, victim.index, job.ref)
+        if spec.gang:
+            self.part.stop_gang(victim.job, grace)
+        else:
+            self.part.stop(victim, grace)
+
+    def make_room_for_arrays(self, now: timedelta, most: int = 64) -> None:
+        """Give a team its guarantee, and higher levels their place, at the cost of work that may be stopped."""
+        if not self.part.settled:
+            return
+        self._refresh(now)
+        for job in self._order:
+            if job.spec.gang or now - job.since < self._patience(job):
+                continue
+            bits = job.waiting_bits
+            if not bits or now - min(job.requeued.get(lowest(bits), job.since), now) < self._patience(job):
+                continue
+            wanted = min(bits.bit_count(), self.part.fits_share(job, most), most)
+            coming = sum(
+                placement.stopping
+                for machine in self.part.machines.values()
+                for placement in machine.placements.values()
+            )  # room on its way already
+            wanted -= coming
+            wanted -= sum(one.free.times(job.need) for one in self._candidates(job, now))
+            if wanted > 0:
+                most -= self._stop_for_array(job, wanted, now)
+            if most <= 0:
+                return
+
+    def _stop_for_array(self, job: Job, wanted: int, now: timedelta) -> int:
+        options = []
+        for machine in self._candidates(job, now):
+            if machine.held_for is None:
+                found = self._clear_out(machine, job, now)
+                if found is not None and found[1]:
+                    options.append((found[0], machine.name, found[1]))
+        options.sort(key=lambda one: one[:2])
+        for _, _, victims in options[:wanted]:
+            for victim in victims:
+                self._preempt(victim, job)
+        return min(wanted, len(options))
+
+    # -- feedback
+
+    def feedback(self, now: timedelta) -> None:
+        """Sample every job, and give those whose period is over their next desire."""
+        for job in self.part.jobs.values():
+            if job.period_began is None:
+                continue
+            af.sample(job, job.waiting_bits.bit_count())
+            if now - job.period_began >= self._settings.period:
+                af.end_period(job, now, self._settings)
+
+    # -- what others need to know
+
+    def shapes(self, now: timedelta) -> list[Shape]:
+        found = []
+        for job in self.part.jobs.values():
+            count = job.waiting_bits.bit_count()
+            if count and job.blocked_until <= now:
+                found.append(
+                    Shape(
+                        job.ref,
+                        job.spec.team,
+                        job.need,
+                        count,
+                        job.spec.gang,
+                        job.level,
+                        job.guaranteed,
+                        now - job.since,
+                        job,
+                    )
+                )
+        return found
--- /dev/null
+++ b/badgerroute/settings.py
@@ -0,0 +1,275 @@
+"""The platform's settings file (TOML) and the operators' own (HCL), checked before anything starts.
+
+The platform may add fields at any time, so unknown ones there are ignored; a misspelt setting of an operator
+would go unnoticed for ever, so unknown ones there are refused.
+"""
+
+import tomllib
+from datetime import timedelta
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+Name = Annotated[str, Meta(min_length=1, max_length=120)]
+Address = Annotated[str, Meta(pattern=r"^[0-9A-Za-z.\-]+:[0-9]{1,5}$")]
+Positive = Annotated[float, Meta(gt=0)]
+Amount = Annotated[float, Meta(ge=0)]
+
+
+class SettingsError(Exception):
+    """One line that names the field and what is wrong with it."""
+
+
+class Sibling(Struct, frozen=True):
+    host_name: Name
+    zone: Name
+    endpoint: Address
+
+
+class Endpoints(Struct, frozen=True):
+    cloud: Address
+    state: Address
+
+
+class Team(Struct, frozen=True):
+    name: Name
+    cpus: Amount = 0.0
+    cpus_max: Amount = 0.0
+    gpus: Amount = 0.0
+    gpus_max: Amount = 0.0
+
+
+class Objective(Struct, frozen=True):
+    kind: str
+    share: float = 1.0
+    job_class: str | None = field(name="class", default=None)
+    within_s: float | None = None
+    times: float | None = None
+
+
+class WorkerLimits(Struct, frozen=True):
+    report_s: Positive
+    lease_s: Positive
+    gang_wait_s: Positive
+    gang_peer_s: Positive
+    cancel_s: Positive
+
+    @property
+    def report(self) -> timedelta:
+        return timedelta(seconds=self.report_s)
+
+    @property
+    def lease(self) -> timedelta:
+        return timedelta(seconds=self.lease_s)
+
+    @property
+    def cancel(self) -> timedelta:
+        return timedelta(seconds=self.cancel_s)
+
+    @property
+    def gang_peer(self) -> timedelta:
+        return timedelta(seconds=self.gang_peer_s)
+
+
+class StateLimits(Struct, frozen=True):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, Meta(ge=2)]
+
+
+class CloudLimits(Struct, frozen=True):
+    rps: Positive
+    list_lag_s: Amount
+
+    @property
+    def list_lag(self) -> timedelta:
+        return timedelta(seconds=self.list_lag_s)
+
+
+class Resources(Struct, frozen=True):
+    cpu: Positive
+    mem_mb: Positive
+    fd_limit: Annotated[int, Meta(ge=32)]
+
+
+class Params(Struct, frozen=True):
+    size: Annotated[int, Meta(ge=1, le=64)]
+    zones: list[Name]
+    workers: WorkerLimits
+    state: StateLimits
+    cloud: CloudLimits
+    resources: Resources
+    teams: list[Team] = []
+    objectives: list[Objective] = []
+    time_bound_ms: Amount = 250.0
+
+
+class PlatformSettings(Struct, frozen=True):
+    host_name: Name
+    zone: Name
+    public_addr: Address
+    mesh_addr: Address
+    endpoints: Endpoints
+    params: Params
+    siblings: list[Sibling] = []
+
+
+class Scheduling(Struct, frozen=True, forbid_unknown_fields=True):
+    """The design's own knobs, by the paper's names."""
+
+    tau: Annotated[float, Meta(ge=0, le=100)] = 1.0
+    delta: Annotated[float, Meta(gt=0, lt=1)] = 0.6
+    rho: Annotated[float, Meta(gt=1, le=100)] = 2.0
+    period_s: Annotated[float, Meta(gt=0, le=600)] = 10.0
+    wait_cap_s: Annotated[float, Meta(ge=0, le=600)] = 60.0
+    round_ms: Annotated[float, Meta(gt=0, le=1000)] = 8.0
+
+    @property
+    def period(self) -> timedelta:
+        return timedelta(seconds=self.period_s)
+
+    @property
+    def wait_cap(self) -> timedelta:
+        return timedelta(seconds=self.wait_cap_s)
+
+    @property
+    def round(self) -> timedelta:
+        return timedelta(milliseconds=self.round_ms)
+
+
+class Fleet(Struct, frozen=True, forbid_unknown_fields=True):
+    """`return_idle`: null decides by the objectives (see `Settings.return_idle`)."""
+
+    return_idle: bool | None = None
+    idle_s: Annotated[float, Meta(ge=0, le=86400)] = 60.0
+    most_machines: Annotated[int, Meta(ge=1)] = 5000
+
+    @property
+    def idle(self) -> timedelta:
+        return timedelta(seconds=self.idle_s)
+
+
+class Claims(Struct, frozen=True, forbid_unknown_fields=True):
+    ttl_s: Annotated[float, Meta(ge=1, le=60)] = 4.0
+
+    @property
+    def ttl(self) -> timedelta:
+        return timedelta(seconds=self.ttl_s)
+
+
+class OperatorSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    scheduling: Scheduling = Scheduling()
+    fleet: Fleet = Fleet()
+    claims: Claims = Claims()
+
+
+class Settings(Struct, frozen=True):
+    platform: PlatformSettings
+    operator: OperatorSettings = OperatorSettings()
+
+    @property
+    def params(self) -> Params:
+        return self.platform.params
+
+    @property
+    def hosts(self) -> list[str]:
+        """All controllers in one order that every one of them computes alike; its index is a home part."""
+        return sorted([self.platform.host_name, *(one.host_name for one in self.platform.siblings)])
+
+    @property
+    def home(self) -> int:
+        return self.hosts.index(self.platform.host_name)
+
+    @property
+    def drift(self) -> timedelta:
+        """What two steady clocks (0.05% each way) may disagree by over the longest wait that safety rests on."""
+        return timedelta(seconds=0.002 * self.params.workers.cancel_s)
+
+    @property
+    def grace(self) -> timedelta:
+        """How long an owner may act without a proof of its claim: G of docs/safety.md.
+
+        G + lease + drift must stay well inside `cancel_s`, or a controller that is cut off could keep a
+        cancelled job's task alive for too long.
+        """
+        workers = self.params.workers
+        margin = timedelta(seconds=3) + 0.05 * workers.cancel + self.drift
+        return max(timedelta(seconds=1), workers.cancel - workers.lease - margin)
+
+    @property
+    def machine_lease(self) -> timedelta:
+        """After so long without an answer to its reports, a machine has certainly killed its tasks."""
+        return self.params.workers.lease + self.drift + timedelta(milliseconds=500)
+
+
+def _convert(data: Any, kind: type, source: str) -> Any:
+    try:
+        return msgspec.convert(data, kind)
+    except msgspec.ValidationError as error:
+        message, _, where = str(error).partition(" - at ")
+        path = where.strip("`").removeprefix("$.") or "top level"
+        raise SettingsError(f"{source}: {path}: {message}") from None
+
+
+def _check(platform: PlatformSettings, source: str) -> None:
+    params = platform.params
+    names = [platform.host_name, *(one.host_name for one in platform.siblings)]
+    if len(set(names)) != len(names):
+        raise SettingsError(f"{source}: siblings: host_name used twice")
+    if len(names) != params.size:
+        raise SettingsError(f"{source}: params.size: is {params.size}, but {len(names)} controllers are named")
+    for team in params.teams:
+        if team.cpus > team.cpus_max or team.gpus > team.gpus_max:
+            raise SettingsError(f"{source}: params.teams: {team.name} is guaranteed more than its limit")
+    if len({team.name for team in params.teams}) != len(params.teams):
+        raise SettingsError(f"{source}: params.teams: name used twice")
+    workers = params.workers
+    if workers.cancel_s <= workers.lease_s + 5:
+        raise SettingsError(f"{source}: params.workers.cancel_s: must exceed lease_s by more than 5 s")
+    for address in (platform.public_addr, platform.mesh_addr):
+        if not 0 < int(address.rpartition(":")[2]) < 65536:
+            raise SettingsError(f"{source}: port out of range: {address}")
+
+
+def load_platform(path: str) -> PlatformSettings:
+    try:
+        with open(path, "rb") as file:
+            data = tomllib.load(file)
+    except OSError as error:
+        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from None
+    platform = _convert(data, PlatformSettings, path)
+    _check(platform, path)
+    return platform
+
+
+def _unquote(value: Any) -> Any:
+    """python-hcl2 gives blocks as one-element lists and adds keys of its own that begin with `__`."""
+    if isinstance(value, dict):
+        return {key.strip('"'): _unquote(one) for key, one in value.items() if not key.startswith("__")}
+    if isinstance(value, list) and len(value) == 1 and isinstance(value[0], dict):
+        return _unquote(value[0])
+    return value
+
+
+def load_operator(path: str) -> OperatorSettings:
+    import hcl2  # a parser generator comes with it: too heavy to load where no such file is used
+
+    try:
+        with open(path, encoding="utf-8") as file:
+            data = hcl2.load(file)
+    except OSError as error:
+        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from None
+    except Exception as error:  # the library lets its parser's own errors through
+        first = (str(error).strip().splitlines() or ["syntax error"])[0]
+        raise SettingsError(f"{path}: not HCL: {first}") from None
+    return _convert(_unquote(data), OperatorSettings, path)
+
+
+def load(path: str, operator_path: str | None = None) -> Settings:
+    platform = load_platform(path)
+    operator = load_operator(operator_path) if operator_path else OperatorSettings()
+    return Settings(platform, operator)
--- /dev/null
+++ b/badgerroute/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The state service and what is kept there."""
--- /dev/null
+++ b/badgerroute/storage/cloud.py
@@ -0,0 +1,78 @@
+"""Client of the cloud, within a budget of calls."""
+
+import logging
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+
+from badgerroute.protocol import cloud as wire
+from badgerroute.protocol.common import Malformed, decode, encode
+from badgerroute.settings import CloudLimits
+from badgerroute.storage.budget import Budget, Exhausted, Urgency
+from badgerroute.transport.http import Client, Response, Unanswered
+from badgerroute.transport.loop import Loop
+from badgerroute.transport.net import Network
+
+log = logging.getLogger("badgerroute.cloud")
+LIMIT = timedelta(seconds=6)
+MOST_RENTED = 50
+MOST_DELETED = 100
+PAGE = 500
+
+
+class CloudUnavailable(Exception):
+    """No usable answer; the request may have been carried out, or may yet be."""
+
+
+class NoCapacity(Exception):
+    """None to be had of this type, in this zone, of this kind."""
+
+
+class CloudClient:
+    def __init__(self, loop: Loop, network: Network, address: str, limits: CloudLimits, size: int) -> None:
+        self._client = Client(loop, network, address)
+        self._budget = Budget(loop, limits.rps * 0.9 / size, max(1.0, limits.rps / size))
+
+    async def _call(self, method: str, target: str, body: bytes, urgency: Urgency) -> Response:
+        try:
+            await self._budget.take(1, urgency, LIMIT)
+            response = await self._client.request(method, target, body, LIMIT)
+        except (Exhausted, Unanswered) as error:
+            raise CloudUnavailable(str(error)) from None
+        if response.status == 503 and b"no capacity" in response.body:
+            raise NoCapacity
+        if response.status != 200:
+            raise CloudUnavailable(f"status {response.status}")
+        return response
+
+    @staticmethod
+    def _decoded(response: Response, decoder: msgspec.json.Decoder) -> Any:
+        try:
+            return decode(response.body, decoder)
+        except Malformed as error:
+            raise CloudUnavailable(f"nonsense from the cloud: {error}") from None
+
+    async def catalog(self) -> list[wire.MachineType]:
+        return self._decoded(await self._call("GET", "/catalog", b"", Urgency.READ), wire.catalog_decoder).types
+
+    async def rent(self, request: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
+        body = encode(wire.RentalRequest(request, kind, zone, spot, min(count, MOST_RENTED)))
+        response = await self._call("POST", "/rentals", body, Urgency.COMPLETE)
+        return self._decoded(response, wire.rented_decoder).machines
+
+    async def delete(self, names: list[str]) -> None:
+        """When this returns, the machines and everything on them are gone."""
+        body = encode(wire.Deletion(names[:MOST_DELETED]))
+        await self._call("POST", "/rentals/delete", body, Urgency.CLAIM)
+
+    async def machines(self) -> list[wire.ListedMachine]:
+        found: list[wire.ListedMachine] = []
+        since = ""
+        while True:
+            target = f"/rentals?limit={PAGE}" + (f"&since={since}" if since else "")
+            page = self._decoded(await self._call("GET", target, b"", Urgency.READ), wire.list_decoder)
+            found.extend(page.machines)
+            if not page.more or not page.machines:
+                return found
+            since = page.machines[-1].name
--- /dev/null
+++ b/badgerroute/storage/records.py
@@ -0,0 +1,124 @@
+"""What is kept in the state service, and how it is written down."""
+
+import base64
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from badgerroute.protocol.users import Submission
+
+
+class PartClaim(Struct):
+    """Until the time of day `until` (seconds since 1970), an owner before this one may still act."""
+
+    owner: str
+    until: float = 0.0
+
+
+class FleetClaim(Struct):
+    owner: str
+
+
+class MachineRecord(Struct):
+    part: int
+    address: str
+    type: str
+    zone: str
+    spot: bool
+
+
+class ShareRecord(Struct):
+    """How much of a team's limit each part may use: part number -> [cpus, accelerators]."""
+
+    shares: dict[str, tuple[float, float]]
+
+
+class PastRecord(Struct):
+    """A final state, kept for ever."""
+
+    state: str
+    tasks: int
+
+
+class JobRecord(Struct):
+    """An unfinished job. Tasks below `base` are done; `bits` holds the others, task `base` first.
+
+    `ranges` says which part owns which tasks: (part, first, one past the last).
+    """
+
+    job: Submission
+    accepted: float
+    ranges: list[tuple[int, int, int]]
+    base: int = 0
+    bits: str = ""
+
+    def done(self) -> int:
+        """All done tasks as a bit set."""
+        low = (1 << self.base) - 1
+        return low | (int.from_bytes(base64.b64decode(self.bits), "little") << self.base) if self.bits else low
+
+    def with_done(self, done: int) -> "JobRecord":
+        base = trailing_ones(done)
+        rest = done >> base
+        size = (rest.bit_length() + 7) // 8
+        bits = base64.b64encode(rest.to_bytes(size, "little")).decode() if rest else ""
+        return msgspec.structs.replace(self, base=base, bits=bits)
+
+    def owned(self, part: int) -> int:
+        """The tasks that a part owns, as a bit set."""
+        owned = 0
+        for owner, first, end in self.ranges:
+            if owner == part:
+                owned |= span(first, end)
+        return owned
+
+
+def trailing_ones(bits: int) -> int:
+    return (~bits & (bits + 1)).bit_length() - 1
+
+
+def span(first: int, end: int) -> int:
+    return ((1 << (end - first)) - 1) << first
+
+
+def lowest(bits: int) -> int:
+    return (bits & -bits).bit_length() - 1
+
+
+def give(ranges: list[tuple[int, int, int]], first: int, end: int, part: int) -> list[tuple[int, int, int]]:
+    """The ranges after the tasks from `first` to before `end` have gone to `part`, neighbours joined."""
+    cut: list[tuple[int, int, int]] = []
+    for owner, start, stop in ranges:
+        if start < min(stop, first):
+            cut.append((owner, start, min(stop, first)))
+        if max(start, end) < stop:
+            cut.append((owner, max(start, end), stop))
+    cut.append((part, first, end))
+    cut.sort(key=lambda one: one[1])
+    joined: list[tuple[int, int, int]] = []
+    for owner, start, stop in cut:
+        if joined and joined[-1][0] == owner and joined[-1][2] == start:
+            joined[-1] = (owner, joined[-1][1], stop)
+        else:
+            joined.append((owner, start, stop))
+    return joined
+
+
+def window(value_kb: float) -> int:
+    """How far beyond its first unfinished task a job may start others, so that its record fits its key."""
+    return max(64, int((value_kb * 1024 * 0.5) * 6))
+
+
+_decoders: dict[type, msgspec.json.Decoder] = {}
+
+
+def read(value: bytes, kind: type) -> Any:
+    decoder = _decoders.get(kind)
+    if decoder is None:
+        decoder = _decoders[kind] = msgspec.json.Decoder(kind)
+    return decoder.decode(value)
+
+
+def write(record: Struct) -> msgspec.Raw:
+    return msgspec.Raw(msgspec.json.encode(record))
--- /dev/null
+++ b/badgerroute/storage/replica.py
@@ -0,0 +1,158 @@
+"""A copy in memory of what the state service holds, kept fresh by a watch.
+
+Everything lies under one prefix, so one watch gives all changes in their order. Own writes and siblings' pushes
+are taken in early; `revision` is what the watch itself has covered.
+"""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from badgerroute.storage.state import StateClient, TooOld, Unavailable
+from badgerroute.transport.clock import ZERO
+from badgerroute.transport.loop import Future, Loop
+
+log = logging.getLogger("badgerroute.replica")
+PREFIX = "b/"
+PARTS, FLEET, JOBS, PAST, MACHINES, SHARES, CATALOG = (
+    "b/parts/",
+    "b/fleet",
+    "b/jobs/",
+    "b/past/",
+    "b/machines/",
+    "b/shares/",
+    "b/catalog",
+)
+LISTED = (PARTS, FLEET, JOBS, MACHINES, SHARES, CATALOG)  # finished jobs are for ever: too many to hold
+BLOCK = timedelta(seconds=1)
+PAUSE = timedelta(milliseconds=150)  # between two watches: each one counts as a request
+
+Listener = Callable[[str, bytes | None, int], None]
+
+
+class Replica:
+    def __init__(self, loop: Loop, state: StateClient) -> None:
+        self._loop, self._state = loop, state
+        self.items: dict[str, tuple[bytes, int]] = {}
+        self._gone: dict[str, int] = {}  # removals that the watch has not covered yet
+        self.revision = 0
+        self.ready = Future()
+        self.proved = -timedelta(days=1)  # when the last watch that was answered had been sent
+        self._listeners: list[tuple[str, Listener]] = []
+        self._advanced: list[tuple[int, Future]] = []
+
+    def listen(self, prefix: str, listener: Listener) -> None:
+        self._listeners.append((prefix, listener))
+
+    def mark(self, key: str) -> int:
+        """Revision of a key; 0 if it does not exist."""
+        item = self.items.get(key)
+        return item[1] if item else 0
+
+    def value(self, key: str) -> bytes | None:
+        item = self.items.get(key)
+        return item[0] if item else None
+
+    def under(self, prefix: str) -> list[str]:
+        return [key for key in self.items if key.startswith(prefix)]
+
+    def learn(self, key: str, value: bytes | None, revision: int) -> None:
+        """Take in a change known from elsewhere than the watch.
+
+        What the watch has covered already is refused: an old copy of a message that arrives minutes late
+        must not bring a removed key back.
+        """
+        if revision > self.revision:
+            self._apply(key, value, revision)
+
+    def _apply(self, key: str, value: bytes | None, revision: int) -> None:
+        if revision <= self.mark(key) or revision <= self._gone.get(key, 0):
+            return
+        if value is None:
+            self.items.pop(key, None)
+            self._gone[key] = revision
+        else:
+            self.items[key] = (value, revision)
+            self._gone.pop(key, None)
+        self._notify(key, value, revision)
+        if key.startswith(PAST):
+            self.items.pop(key, None)
+
+    def _notify(self, key: str, value: bytes | None, revision: int) -> None:
+        for prefix, listener in self._listeners:
+            if key.startswith(prefix):
+                try:
+                    listener(key, value, revision)
+                except Exception as error:
+                    log.error("event=listener_failed key=%s error=%r", key, error, exc_info=error)
+
+    def _covered(self, revision: int) -> None:
+        self.revision = max(self.revision, revision)
+        if self._gone:
+            self._gone = {key: mark for key, mark in self._gone.items() if mark > self.revision}
+        if self._advanced:
+            waiting, self._advanced = self._advanced, []
+            for wanted, future in waiting:
+                if wanted <= self.revision:
+                    future.set()
+                else:
+                    self._advanced.append((wanted, future))
+
+    async def caught_up(self, revision: int) -> None:
+        """Wait until the watch has covered a revision."""
+        if self.revision < revision:
+            future = Future()
+            self._advanced.append((revision, future))
+            await future
+
+    async def _load(self) -> None:
+        started = self._loop.now()
+        fresh: dict[str, tuple[bytes, int]] = {}
+        revision: int | None = None
+        for prefix in LISTED:
+            items, at = await self._state.list(prefix)
+            revision = at if revision is None else min(revision, at)
+            for item in items:
+                fresh[item.key] = (bytes(item.value), item.revision)
+        assert revision is not None
+        for key in [key for key, (_, mark) in self.items.items() if key not in fresh and mark <= revision]:
+            self.items.pop(key)  # it went while nobody watched
+            self._notify(key, None, revision)
+        for key, (value, mark) in fresh.items():
+            self._apply(key, value, mark)
+        self._covered(revision)
+        self.proved = started
+        self.ready.set()
+        log.info("event=replica_loaded revision=%d keys=%d", revision, len(self.items))
+
+    async def run(self) -> None:
+        """Load, then follow for ever."""
+        loaded = False
+        delay = PAUSE
+        while True:
+            started = self._loop.now()
+            try:
+                if not loaded:
+                    await self._load()
+                    loaded = True
+                changes = await self._state.follow(PREFIX, self.revision, BLOCK)
+            except TooOld:
+                log.info("event=watch_too_old")
+                loaded = False
+                continue
+            except Unavailable as error:
+                log.info("event=watch_failed error=%s", error)
+                await self._loop.sleep(delay)
+                delay = min(2 * delay, timedelta(seconds=1))
+                continue
+            delay = PAUSE
+            for change in sorted(changes.changes, key=lambda one: one.revision):
+                if isinstance(change.put, str):
+                    self._apply(change.put, bytes(change.value), change.revision)
+                elif isinstance(change.removed, str):
+                    self._apply(change.removed, None, change.revision)
+            self._covered(changes.revision)
+            self.proved = started
+            rest = PAUSE - (self._loop.now() - started)
+            if rest > ZERO:
+                await self._loop.sleep(rest)
--- /dev/null
+++ b/badgerroute/storage/state.py
@@ -0,0 +1,191 @@
+"""Client of the state service. Says plainly whether a transaction applied, did not, or may have."""
+
+import logging
+from collections.abc import Iterable, Sequence
+from datetime import timedelta
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from badgerroute.protocol import state as wire
+from badgerroute.protocol.common import Malformed, decode, encode
+from badgerroute.settings import StateLimits
+from badgerroute.storage.budget import Budget, Exhausted, Urgency
+from badgerroute.transport.http import Client, Response, Unanswered
+from badgerroute.transport.loop import Loop
+from badgerroute.transport.net import Network
+
+log = logging.getLogger("badgerroute.state")
+ANSWER_LIMIT = timedelta(milliseconds=1500)
+SLACK = 0.95  # budgets stay a little below the published limits: clocks differ, and a 429 helps nobody
+
+
+class Unavailable(Exception):
+    """Nothing was done, and nothing will be done later."""
+
+
+class Unknown(Exception):
+    """The transaction may have been applied, or may yet be: read back before going on."""
+
+
+class Conflicted(Exception):
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(f"conditions failed: {failed}")
+        self.failed = failed
+
+
+class LeaseGone(Exception):
+    """The lease has ended, and the keys attached to it are gone."""
+
+
+class TooOld(Exception):
+    """A watch began before what the service still remembers."""
+
+
+def when(key: str, revision: int) -> wire.Condition:
+    return wire.Condition(key, revision)
+
+
+def put(key: str, value: Any, lease: int | None = None) -> wire.Put:
+    return wire.Put(key, value) if lease is None else wire.Put(key, value, lease)
+
+
+def remove(key: str) -> wire.Remove:
+    return wire.Remove(key)
+
+
+class StateClient:
+    def __init__(self, loop: Loop, network: Network, address: str, limits: StateLimits, size: int) -> None:
+        self._client = Client(loop, network, address, most_idle=6)
+        self._watch_client = Client(loop, network, address, most_idle=1)
+        self._claim_client = Client(loop, network, address, most_idle=1)
+        rate, writes = limits.rps * SLACK / size, limits.write_rps * SLACK / size
+        self._reads = Budget(loop, rate, rate)
+        self._writes = Budget(loop, writes, writes)
+        self._loop = loop
+        self.limits = limits
+        self.requests = 0
+        self.conflicts = 0
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        urgency: Urgency,
+        limit: timedelta = ANSWER_LIMIT,
+        client: Client | None = None,
+    ) -> Response:
+        try:
+            await self._reads.take(1, urgency, limit)
+        except Exhausted as error:
+            raise Unavailable(str(error)) from None
+        self.requests += 1
+        try:
+            response = await (client or self._client).request(method, target, body, limit)
+        except Unanswered as error:
+            if error.sent:
+                raise Unknown(str(error)) from None
+            raise Unavailable(str(error)) from None
+        if response.status in (429, 503):
+            raise Unavailable(f"status {response.status}")
+        return response
+
+    @staticmethod
+    def _decoded(response: Response, decoder: msgspec.json.Decoder) -> Any:
+        try:
+            return decode(response.body, decoder)
+        except Malformed as error:
+            raise Unknown(f"nonsense from the state service: {error}") from None
+
+    async def get(self, key: str, urgency: Urgency = Urgency.READ) -> wire.Item | None:
+        try:
+            response = await self._call("GET", "/kv/" + quote(key, safe="/"), b"", urgency)
+        except Unknown as error:  # a read changes nothing, so whether it happened does not matter
+            raise Unavailable(str(error)) from None
+        if response.status == 404:
+            return None
+        if response.status != 200:
+            raise Unavailable(f"status {response.status}")
+        try:
+            return self._decoded(response, wire.item_decoder)
+        except Unknown as error:
+            raise Unavailable(str(error)) from None
+
+    async def list(self, prefix: str) -> tuple[list[wire.Item], int]:
+        """All items under a prefix, and a revision that none of the pages is older than."""
+        found: list[wire.Item] = []
+        since, revision = "", None
+        while True:
+            target = f"/kv?under={quote(prefix, safe='/')}&limit=500"
+            if since:
+                target += f"&since={quote(since, safe='/')}"
+            try:
+                response = await self._call("GET", target, b"", Urgency.CLAIM)
+                if response.status != 200:
+                    raise Unavailable(f"status {response.status}")
+                page = self._decoded(response, wire.listing_decoder)
+            except Unknown as error:
+                raise Unavailable(str(error)) from None
+            revision = page.revision if revision is None else min(revision, page.revision)
+            found.extend(page.items)
+            if not page.more or not page.items:
+                return found, revision
+            since = page.items[-1].key
+
+    async def transact(
+        self,
+        conditions: Iterable[wire.Condition],
+        changes: Sequence[wire.Put | wire.Remove],
+        urgency: Urgency,
+        limit: timedelta = ANSWER_LIMIT,
+    ) -> int:
+        """The revision at which the changes were applied. Raises one of this module's errors otherwise."""
+        try:
+            await self._writes.take(max(1, len(changes)), urgency, limit)
+        except Exhausted as error:
+            raise Unavailable(str(error)) from None
+        body = encode(wire.Transaction(list(conditions), list(changes)))
+        response = await self._call("POST", "/txn", body, urgency, limit)
+        if response.status == 200:
+            return self._decoded(response, wire.applied_decoder).revision
+        if response.status == 409:
+            self.conflicts += 1
+            raise Conflicted(self._decoded(response, wire.conflict_decoder).failed)
+        if response.status == 400 and b"lease" in response.body:
+            raise LeaseGone("no such lease")
+        if response.status == 400:
+            log.error("event=state_refused body=%s", response.body[:200])
+        raise Unavailable(f"status {response.status}")
+
+    async def grant(self, ttl: timedelta) -> int:
+        body = encode({"ttl_ms": int(ttl / timedelta(milliseconds=1))})
+        response = await self._call("POST", "/grants", body, Urgency.CLAIM, client=self._claim_client)
+        if response.status not in (200, 201):
+            raise Unavailable(f"status {response.status}")
+        return self._decoded(response, wire.lease_decoder).lease
+
+    async def touch(self, lease: int, limit: timedelta) -> None:
+        target = f"/grants/{lease}/touch"
+        response = await self._call("POST", target, b"", Urgency.CLAIM, limit, client=self._claim_client)
+        if response.status == 404:
+            raise LeaseGone("lease ended")
+        if response.status != 200:
+            raise Unavailable(f"status {response.status}")
+
+    async def follow(self, prefix: str, since: int, block: timedelta) -> wire.Changes:
+        target = (
+            f"/follow?under={quote(prefix, safe='/')}&since={since}&block_ms={int(block / timedelta(milliseconds=1))}"
+        )
+        try:
+            response = await self._call(
+                "GET", target, b"", Urgency.CLAIM, block + timedelta(seconds=3), client=self._watch_client
+            )
+            if response.status == 410:
+                raise TooOld
+            if response.status != 200:
+                raise Unavailable(f"status {response.status}")
+            return self._decoded(response, wire.changes_decoder)
+        except Unknown as error:
+            raise Unavailable(str(error)) from None
--- /dev/null
+++ b/badgerroute/transport/clock.py
@@ -0,0 +1,45 @@
+"""Clocks. A steady time is a `timedelta` since an arbitrary origin; a time of day is a `datetime`."""
+
+import time
+from datetime import UTC, datetime, timedelta
+from typing import Protocol
+
+ZERO = timedelta(0)
+
+
+def seconds(value: float) -> timedelta:
+    """The wire's seconds as a `timedelta`."""
+    return timedelta(seconds=value)
+
+
+class Clock(Protocol):
+    def now(self) -> timedelta:
+        """Steady time: never goes back, may drift."""
+
+    def today(self) -> datetime:
+        """Time of day, right only within the platform's bound."""
+
+
+class SystemClock:
+    def now(self) -> timedelta:
+        return timedelta(seconds=time.monotonic())
+
+    def today(self) -> datetime:
+        return datetime.now(UTC)
+
+
+class VirtualClock:
+    """Time that moves only when told to, so that a day can be replayed in a moment."""
+
+    def __init__(self, start: datetime = datetime(2026, 1, 1, tzinfo=UTC)) -> None:
+        self._start = start
+        self._elapsed = ZERO
+
+    def now(self) -> timedelta:
+        return self._elapsed
+
+    def today(self) -> datetime:
+        return self._start + self._elapsed
+
+    def advance(self, to: timedelta) -> None:
+        self._elapsed = max(self._elapsed, to)
--- /dev/null
+++ b/badgerroute/transport/loop.py
@@ -0,0 +1,344 @@
+"""Routines (`async def`) run on `selectors`, with timers, time limits and orderly cancellation.
+
+A routine waits only for `Future`s, so every suspension point can be cancelled in the same way.
+"""
+
+import heapq
+import itertools
+import logging
+import selectors
+from collections import deque
+from collections.abc import Callable, Coroutine, Generator
+from datetime import timedelta
+from typing import Any, Protocol
+
+from badgerroute.transport.clock import ZERO, Clock, VirtualClock
+
+log = logging.getLogger("badgerroute.loop")
+
+
+class Cancelled(BaseException):
+    """Thrown into a routine that is being cancelled; not an `Exception`, so that nobody swallows it."""
+
+
+class TimeLimit(Exception):
+    """What a routine was waiting for did not come within its limit."""
+
+
+class Future:
+    __slots__ = ("done", "result", "error", "waiters")
+
+    def __init__(self) -> None:
+        self.done = False
+        self.result: Any = None
+        self.error: BaseException | None = None
+        self.waiters: list[Callable[[], None]] = []
+
+    def set(self, result: Any = None) -> None:
+        if not self.done:
+            self.done, self.result = True, result
+            self._wake()
+
+    def fail(self, error: BaseException) -> None:
+        if not self.done:
+            self.done, self.error = True, error
+            self._wake()
+
+    def _wake(self) -> None:
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            waiter()
+
+    def __await__(self) -> Generator["Future", None, Any]:
+        if not self.done:
+            yield self
+        if self.error is not None:
+            raise self.error
+        return self.result
+
+
+class Routine(Future):
+    """A running coroutine; awaiting it gives its result."""
+
+    __slots__ = ("loop", "coro", "name", "_thrown", "_waiting", "_scheduled")
+
+    def __init__(self, loop: "Loop", coro: Coroutine, name: str) -> None:
+        super().__init__()
+        self.loop, self.coro, self.name = loop, coro, name
+        self._thrown: BaseException | None = None
+        self._waiting: Future | None = None
+        self._scheduled = False
+
+    def cancel(self) -> None:
+        self.throw(Cancelled())
+
+    def throw(self, error: BaseException) -> None:
+        """Raise `error` at the point where the routine waits. Cancellation outranks a time limit."""
+        if self.done:
+            return
+        if self._thrown is None or isinstance(error, Cancelled):
+            self._thrown = error
+        self.schedule()
+
+    def schedule(self) -> None:
+        if not self._scheduled and not self.done:
+            self._scheduled = True
+            self.loop.ready.append(self)
+
+    def _awake(self) -> None:
+        self.schedule()
+
+    def step(self) -> None:
+        self._scheduled = False
+        if self.done:
+            return
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None and not waiting.done:
+            if self._thrown is None:  # woken for nothing
+                self._waiting = waiting
+                return
+            try:
+                waiting.waiters.remove(self._awake)
+            except ValueError:
+                pass
+        self.loop.current = self
+        try:
+            if self._thrown is not None:
+                error, self._thrown = self._thrown, None
+                target = self.coro.throw(error)
+            else:
+                target = self.coro.send(None)
+        except StopIteration as stop:
+            self.set(stop.value)
+        except Cancelled as error:
+            self.fail(error)
+        except Exception as error:
+            watched = bool(self.waiters)
+            self.fail(error)
+            if not watched:
+                log.error("event=routine_failed routine=%s error=%r", self.name, error, exc_info=error)
+        else:
+            self._waiting = target
+            if target.done or self._thrown is not None:
+                self.schedule()
+            else:
+                target.waiters.append(self._awake)
+        finally:
+            self.loop.current = None
+
+
+class Timer:
+    __slots__ = ("action", "cancelled")
+
+    def __init__(self, action: Callable[[], None]) -> None:
+        self.action = action
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+        self.action = _nothing
+
+
+def _nothing() -> None:
+    """What a cancelled timer does."""
+
+
+class Poller(Protocol):
+    def poll(self, limit: timedelta | None) -> None:
+        """Wait up to `limit` (None: no limit) and wake whoever's descriptor became ready."""
+
+
+class SelectorPoller:
+    """Descriptors of the real system."""
+
+    def __init__(self) -> None:
+        self._selector = selectors.DefaultSelector()
+        self._interest: dict[int, dict[int, Future]] = {}
+
+    def wait(self, fileno: int, event: int) -> Future:
+        future = Future()
+        wanted = self._interest.setdefault(fileno, {})
+        known = bool(wanted)
+        wanted[event] = future
+        mask = 0
+        for one in wanted:
+            mask |= one
+        if known:
+            self._selector.modify(fileno, mask)
+        else:
+            self._selector.register(fileno, mask)
+        return future
+
+    def forget(self, fileno: int) -> None:
+        wanted = self._interest.pop(fileno, None)
+        if wanted:
+            self._selector.unregister(fileno)
+            for future in wanted.values():
+                future.fail(ConnectionError("closed here"))
+
+    def poll(self, limit: timedelta | None) -> None:
+        timeout = None if limit is None else max(0.0, limit.total_seconds())
+        for key, mask in self._selector.select(timeout):
+            wanted = self._interest.get(key.fd)
+            if not wanted:
+                continue
+            for event in (selectors.EVENT_READ, selectors.EVENT_WRITE):
+                if mask & event and event in wanted:
+                    wanted.pop(event).set()
+            if wanted:
+                rest = 0
+                for one in wanted:
+                    rest |= one
+                self._selector.modify(key.fd, rest)
+            else:
+                del self._interest[key.fd]
+                self._selector.unregister(key.fd)
+
+
+class VirtualPoller:
+    """No descriptors at all: waiting only moves the virtual clock."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        self._clock = clock
+
+    def poll(self, limit: timedelta | None) -> None:
+        if limit is None:
+            raise RuntimeError("every routine waits and no timer is set")
+        self._clock.advance(self._clock.now() + limit)
+
+
+class _Deadline:
+    """`with loop.limit(delta):` raises TimeLimit in the body when the time is over."""
+
+    __slots__ = ("_loop", "_delta", "_timer", "_error")
+
+    def __init__(self, loop: "Loop", delta: timedelta) -> None:
+        self._loop, self._delta = loop, delta
+
+    def __enter__(self) -> "_Deadline":
+        routine = self._loop.current
+        self._error = TimeLimit(f"no answer within {self._delta.total_seconds():.2f} s")
+        self._timer = self._loop.later(self._delta, lambda: routine.throw(self._error))
+        return self
+
+    def __exit__(self, kind: type | None, value: BaseException | None, trace: object) -> None:
+        self._timer.cancel()
+        routine = self._loop.current
+        if routine is not None and routine._thrown is self._error:
+            routine._thrown = None  # it ran out just as the body ended: the body's result stands
+
+
+class Loop:
+    def __init__(self, clock: Clock, poller: Poller) -> None:
+        self.clock = clock
+        self.poller = poller
+        self.ready: deque[Routine] = deque()
+        self.current: Routine | None = None
+        self._timers: list[tuple[timedelta, int, Timer]] = []
+        self._order = itertools.count()
+
+    def now(self) -> timedelta:
+        return self.clock.now()
+
+    def spawn(self, coro: Coroutine, name: str) -> Routine:
+        routine = Routine(self, coro, name)
+        routine.schedule()
+        return routine
+
+    def later(self, delta: timedelta, action: Callable[[], None]) -> Timer:
+        timer = Timer(action)
+        heapq.heappush(self._timers, (self.now() + max(delta, ZERO), next(self._order), timer))
+        return timer
+
+    async def sleep(self, delta: timedelta) -> None:
+        future = Future()
+        timer = self.later(delta, future.set)
+        try:
+            await future
+        finally:
+            timer.cancel()
+
+    def limit(self, delta: timedelta) -> _Deadline:
+        return _Deadline(self, delta)
+
+    async def first(self, future: Future, delta: timedelta) -> bool:
+        """Wait for a future at most so long; whether it is done. The future itself goes on."""
+        if future.done:
+            return True
+        gate = Future()
+        timer = self.later(delta, gate.set)
+        future.waiters.append(gate.set)
+        try:
+            await gate
+        finally:
+            timer.cancel()
+            if gate.set in future.waiters:
+                future.waiters.remove(gate.set)
+        return future.done
+
+    def turn(self, until: Callable[[], bool] | None = None) -> None:
+        """One round: what is ready, then what has become ready meanwhile."""
+        now = self.now()
+        timers = self._timers
+        while timers and timers[0][0] <= now:
+            heapq.heappop(timers)[2].action()
+        for _ in range(len(self.ready)):
+            self.ready.popleft().step()
+        if until is not None and until():
+            return
+        if self.ready:
+            limit: timedelta | None = ZERO
+        else:
+            while timers and timers[0][2].cancelled:
+                heapq.heappop(timers)
+            limit = max(ZERO, timers[0][0] - self.now()) if timers else None
+        if limit is None or limit > ZERO or not isinstance(self.poller, VirtualPoller):
+            self.poller.poll(limit)
+
+    def run(self, main: Routine) -> Any:
+        while not main.done:
+            self.turn(lambda: main.done)
+        if main.error is not None:
+            raise main.error
+        return main.result
+
+
+class Group:
+    """Routines that live and end together, for instance all those of one controller."""
+
+    def __init__(self, loop: Loop, name: str) -> None:
+        self.loop, self.name = loop, name
+        self._routines: set[Routine] = set()
+        self.closed = False
+
+    def spawn(self, coro: Coroutine, name: str) -> Routine:
+        routine = self.loop.spawn(coro, f"{self.name}/{name}")
+        if self.closed:
+            routine.cancel()
+            return routine
+        self._routines.add(routine)
+        routine.waiters.append(lambda: self._ended(routine))
+        return routine
+
+    def _ended(self, routine: Routine) -> None:
+        self._routines.discard(routine)
+        if routine.error is not None and not isinstance(routine.error, Cancelled):
+            log.error("event=routine_failed routine=%s error=%r", routine.name, routine.error, exc_info=routine.error)
+
+    def duty(self, make: Callable[[], Coroutine], name: str, pause: timedelta) -> Routine:
+        """A long-lived duty: if it fails, the failure is logged and the duty begins again."""
+        return self.spawn(self._repeat(make, name, pause), name)
+
+    async def _repeat(self, make: Callable[[], Coroutine], name: str, pause: timedelta) -> None:
+        while True:
+            try:
+                await make()
+                return
+            except Exception as error:
+                log.error("event=duty_failed duty=%s error=%r", name, error, exc_info=error)
+            await self.loop.sleep(pause)
+
+    def cancel(self) -> None:
+        self.closed = True
+        for routine in list(self._routines):
+            routine.cancel()
--- /dev/null
+++ b/badgerroute/transport/net.py
@@ -0,0 +1,130 @@
+"""TCP streams over the loop. Tests put another network with the same three methods in this one's place."""
+
+import errno
+import logging
+import selectors
+import socket
+from datetime import timedelta
+from typing import Protocol
+
+from badgerroute.transport.loop import Loop, SelectorPoller, TimeLimit
+
+log = logging.getLogger("badgerroute.net")
+CHUNK = 65536
+
+
+class Stream(Protocol):
+    async def read(self) -> bytes:
+        """Some bytes; empty at the end of the stream."""
+
+    async def write(self, data: bytes) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Listener(Protocol):
+    async def accept(self) -> Stream: ...
+
+    def close(self) -> None: ...
+
+
+class Network(Protocol):
+    async def connect(self, address: str, limit: timedelta) -> Stream: ...
+
+    def listen(self, address: str) -> Listener: ...
+
+
+def split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class TcpStream:
+    __slots__ = ("_poller", "_sock")
+
+    def __init__(self, poller: SelectorPoller, sock: socket.socket) -> None:
+        self._poller, self._sock = poller, sock
+
+    async def read(self) -> bytes:
+        while True:
+            try:
+                return self._sock.recv(CHUNK)
+            except BlockingIOError:
+                await self._poller.wait(self._sock.fileno(), selectors.EVENT_READ)
+
+    async def write(self, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self._sock.send(view) :]
+            except BlockingIOError:
+                await self._poller.wait(self._sock.fileno(), selectors.EVENT_WRITE)
+
+    def close(self) -> None:
+        if self._sock.fileno() >= 0:
+            self._poller.forget(self._sock.fileno())
+            self._sock.close()
+
+
+class TcpListener:
+    def __init__(self, loop: Loop, poller: SelectorPoller, sock: socket.socket) -> None:
+        self._loop, self._poller, self._sock = loop, poller, sock
+
+    async def accept(self) -> TcpStream:
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except BlockingIOError:
+                await self._poller.wait(self._sock.fileno(), selectors.EVENT_READ)
+            except OSError as error:
+                if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED, errno.ENOMEM, errno.ENOBUFS):
+                    raise
+                # Out of sockets: a busy loop on accept would burn the little processor time there is.
+                log.warning("event=accept_failed error=%s", error)
+                await self._loop.sleep(timedelta(milliseconds=100))
+            else:
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                return TcpStream(self._poller, sock)
+
+    def close(self) -> None:
+        if self._sock.fileno() >= 0:
+            self._poller.forget(self._sock.fileno())
+            self._sock.close()
+
+
+class TcpNetwork:
+    def __init__(self, loop: Loop, poller: SelectorPoller) -> None:
+        self._loop, self._poller = loop, poller
+
+    async def connect(self, address: str, limit: timedelta) -> TcpStream:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            code = sock.connect_ex(split(address))
+            if code not in (0, errno.EINPROGRESS):
+                raise OSError(code, "connect failed")
+            if code:
+                with self._loop.limit(limit):
+                    await self._poller.wait(sock.fileno(), selectors.EVENT_WRITE)
+                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                if code:
+                    raise OSError(code, "connect failed")
+        except BaseException:
+            if sock.fileno() >= 0:
+                self._poller.forget(sock.fileno())
+            sock.close()
+            raise
+        return TcpStream(self._poller, sock)
+
+    def listen(self, address: str) -> TcpListener:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(split(address))
+        sock.listen(512)
+        return TcpListener(self._loop, self._poller, sock)
+
+
+__all__ = ["Listener", "Network", "Stream", "TcpNetwork", "TimeLimit", "split"]
