--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -432,7 +432,7 @@
                 continue
             count = job.waiting_bits.bit_count()
             if count:
-                room = sum(one.free.times(job.need) for one in self.part.machines.values() if one.usable)
+                room = self.part.room_for(job)
                 soon.cpus += min(count, room) * job.need.cpus
                 soon.accelerators += min(count, room) * job.need.accelerators
         spare.take(soon)
@@ -529,7 +529,8 @@
         whole = spec.gang or spec.together or spec.spread
         if whole and job.placed:
             return 0  # placement rules look at all of the job's tasks: they stay in one part
-        room_here = sum(one.free.times(job.need) for one in self.part.machines.values() if one.usable)
+        # Only machines that the job may use count: else its tasks would stay where none of them can ever run.
+        room_here = self.part.room_for(job)
         wanted = waiting.bit_count() - (0 if whole else min(room_here, waiting.bit_count()))
         if whole and room_here >= wanted:
             return 0
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -12,7 +12,7 @@
 
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.workers import Command, Report, TaskReport, split_task
-from badgerroute.scheduling.model import ZERO, Job, Machine, Phase, Placement, Room, capacity_of
+from badgerroute.scheduling.model import ZERO, Job, Machine, Phase, Placement, Room, allows, capacity_of
 from badgerroute.storage.records import JobRecord, MachineRecord
 
 log = logging.getLogger("badgerroute.part")
@@ -153,6 +153,16 @@
         )
         return max(0, min(tasks, fitting))
 
+    def room_for(self, job: Job) -> int:
+        """How many of a job's tasks the free room of machines that it may use would hold."""
+        return sum(
+            machine.free.times(job.need)
+            for machine in self.machines.values()
+            if machine.usable
+            and machine.held_for in (None, job.ref)
+            and allows(job.spec, machine.kind.name, machine.zone, machine.spot)
+        )
+
     def place(self, job: Job, index: int, attempt: int, machine: Machine, now: timedelta, phase: Phase) -> Placement:
         placement = Placement(job, index, attempt, machine, phase, now)
         machine.placements[placement.key] = placement
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -135,8 +135,7 @@
         return beyond or len(job.placed) < job.desire
 
     def _begin_desire(self, job: Job, now: timedelta) -> None:
-        free = sum(one.free.times(job.need) for one in self.part.machines.values() if one.usable)
-        af.begin(job, now, job.waiting_bits.bit_count(), free)
+        af.begin(job, now, job.waiting_bits.bit_count(), self.part.room_for(job))
 
     def _start_one(self, job: Job, machine: Machine, now: timedelta, beyond: bool) -> bool:
         if not machine.free.holds(job.need) or (not beyond and len(job.placed) >= job.desire):
--- /dev/null
+++ b/tests/standins/day.py
@@ -0,0 +1,204 @@
+"""A whole day in virtual time: controllers, stand-ins, users that check what they are told, and faults."""
+
+import json
+from collections.abc import Callable
+from datetime import timedelta
+
+from badgerroute.coordination.controller import Controller
+from badgerroute.settings import (
+    CloudLimits,
+    Endpoints,
+    Objective,
+    OperatorSettings,
+    Params,
+    PlatformSettings,
+    Resources,
+    Settings,
+    Sibling,
+    StateLimits,
+    Team,
+    WorkerLimits,
+)
+from badgerroute.transport.clock import VirtualClock
+from badgerroute.transport.http import Client, Response, Unanswered
+from badgerroute.transport.loop import Group, Loop, VirtualPoller
+from tests.standins.net import World
+from tests.standins.state import StateService
+from tests.standins.workers import Kind, Site
+
+SECOND = timedelta(seconds=1)
+HOSTS = ["drover-0", "drover-1", "drover-2"]
+LIMITS = {"blue": 40.0, "red": 24.0}
+
+
+def job(ref: str, **changes: object) -> dict:
+    described = {
+        "ref": ref, "herd": "batch", "crew": "blue", "gait": "array", "rank": "normal", "heads": 6, "cpus": 1.0,
+        "accelerators": 0.0, "ram_gb": 1.0, "breeds": None, "pasture": None, "together": False, "spread": False,
+        "strays": True, "brand": "img-1", "image_gb": 0.5, "trek_s": 5.0, "waypoint_s": 0.0, "pen_s": 0.0,
+        "market_s": None,
+    }  # fmt: skip
+    return described | changes
+
+
+def settings_of(host: str, state: str, tightest: float = 2.0) -> Settings:
+    params = Params(
+        size=len(HOSTS),
+        zones=["a", "b"],
+        workers=WorkerLimits(report_s=1, lease_s=11, gang_wait_s=45, gang_peer_s=4, cancel_s=36),
+        state=StateLimits(rps=100, write_rps=40, value_kb=16, txn_ops=16),
+        cloud=CloudLimits(rps=6, list_lag_s=2),
+        resources=Resources(cpu=0.2, mem_mb=100, fd_limit=600),
+        teams=[Team(name, limit / 2, limit) for name, limit in LIMITS.items()],
+        objectives=[Objective("guarantee", 0.9, within_s=tightest)],
+    )
+    siblings = [Sibling(one, "a", f"{one}:8081") for one in HOSTS if one != host]
+    platform = PlatformSettings(
+        host, "a", f"{host}:8080", f"{host}:8081", Endpoints("cloud:8443", state), params, siblings
+    )
+    return Settings(platform, OperatorSettings())
+
+
+class Day:
+    def __init__(self, seed: int = 1, machines: int = 6, capacity: int = 3, kind_cpus: float = 8.0) -> None:
+        self.clock = VirtualClock()
+        self.loop = Loop(self.clock, VirtualPoller(self.clock))
+        self.world = World(self.loop, seed)
+        self.random = self.world.random
+        self.group = Group(self.loop, "day")
+        self.state = StateService(self.loop, self.world, self.group)
+        self.settings = {host: settings_of(host, self.state.serve(host)) for host in HOSTS}
+        kinds = [Kind("k8", kind_cpus, 32.0)]
+        self.site = Site(self.world, HOSTS, kinds, ["a", "b"], LIMITS, capacity, timedelta(seconds=36))
+        self.rules = self.site.rules
+        for number in range(machines):
+            self.site.add_worker("k8", "ab"[number % 2])
+        self.controllers: dict[str, tuple[Controller, Group]] = {}
+        self.user = self.world.network("user")
+        self.told: dict[str, str] = {}
+        self.accepted: set[str] = set()
+        self.change: Callable[[Controller], None] = lambda controller: None
+        for host in HOSTS:
+            self.start(host)
+        self.group.spawn(self._sweep(), "sweep")
+
+    # -- controllers
+
+    def start(self, host: str) -> None:
+        group = Group(self.loop, host)
+        controller = Controller(self.settings[host], self.loop, self.world.network(host), group)
+        self.change(controller)
+        self.controllers[host] = (controller, group)
+        group.spawn(controller.run(), "main")
+
+    def crash(self, host: str) -> None:
+        controller, group = self.controllers.pop(host)
+        for owner in controller.owners.values():
+            owner.group.cancel()
+        group.cancel()
+        self.world.crash(host)
+
+    def restart(self, host: str, after: timedelta = 3 * SECOND) -> None:
+        self.crash(host)
+        self.loop.later(after, lambda: self.start(host))
+
+    # -- time
+
+    def run(self, seconds: float) -> None:
+        self.loop.run(self.loop.spawn(self.loop.sleep(timedelta(seconds=seconds)), "run"))
+
+    def until(self, reached: Callable[[], bool], limit: float) -> bool:
+        end = self.loop.now() + timedelta(seconds=limit)
+        while not reached() and self.loop.now() < end:
+            self.run(0.25)
+        return reached()
+
+    async def _sweep(self) -> None:
+        while True:
+            await self.loop.sleep(SECOND / 2)
+            self.rules.sweep()
+
+    # -- users
+
+    def ask(self, method: str, path: str, body: object = None, host: str | None = None) -> Response | None:
+        data = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
+        client = Client(self.loop, self.user, f"{host or self.random.choice(HOSTS)}:8080")
+
+        async def go() -> Response | None:
+            try:
+                return await client.request(method, path, data, 5 * SECOND, fresh=True)
+            except Unanswered:
+                return None
+            finally:
+                client.drop()
+
+        return self.loop.run(self.loop.spawn(go(), "user"))
+
+    def submit(self, described: dict, tries: int = 40) -> int:
+        """Submit until it is decided, as users do; the status of the decision."""
+        self.site.jobs[described["ref"]] = described
+        for _ in range(tries):
+            response = self.ask("POST", "/v1/jobs", described)
+            if response is not None and response.status in (200, 201, 400, 422):
+                if response.status in (200, 201):
+                    self.accepted.add(described["ref"])
+                    self._check(described["ref"], json.loads(response.body)["condition"])
+                elif described["ref"] in self.accepted:
+                    self.rules.breach("forgotten", described["ref"])
+                return response.status
+            self.run(1)
+        return 0
+
+    def poll(self, ref: str, host: str | None = None) -> str | None:
+        response = self.ask("GET", f"/v1/jobs/{ref}", host=host)
+        if response is None or response.status not in (200, 404):
+            return None
+        if response.status == 404:
+            if ref in self.accepted:
+                self.rules.breach("forgotten", ref)
+            return "unknown"
+        if ref not in self.site.jobs:
+            self.rules.breach("invented", ref)
+        condition = json.loads(response.body)["condition"]
+        self._check(ref, condition)
+        return condition
+
+    def _check(self, ref: str, condition: str) -> None:
+        last = self.told.get(ref)
+        if last in ("done", "withdrawn") and condition != last:
+            self.rules.breach("went_back", f"{ref} from {last} to {condition}")
+        if condition == "withdrawn" and ref not in self.site.withdrawn:
+            self.rules.breach("went_back", f"{ref} withdrawn by nobody")
+        if condition == "done":
+            missing = [
+                index for index in range(self.site.jobs[ref]["heads"]) if f"{ref}/{index}" not in self.site.finished
+            ]
+            if missing:
+                self.rules.breach("not_done", f"{ref} lacks {missing[:5]}")
+        self.told[ref] = condition
+
+    def cancel(self, ref: str, tries: int = 40) -> str | None:
+        for _ in range(tries):
+            before = self.loop.now()
+            response = self.ask("POST", f"/v1/jobs/{ref}/cancel")
+            if response is not None and response.status == 200:
+                condition = json.loads(response.body)["condition"]
+                if condition == "withdrawn":
+                    self.site.withdrawn.setdefault(ref, before)
+                self._check(ref, condition)
+                return condition
+            self.run(1)
+        return None
+
+    def finish(self, limit: float = 240) -> list[str]:
+        """Let everything come to an end; the accepted jobs that did not."""
+
+        def left() -> list[str]:
+            return [ref for ref in sorted(self.accepted) if self.told.get(ref) not in ("done", "withdrawn")]
+
+        end = self.loop.now() + timedelta(seconds=limit)
+        while left() and self.loop.now() < end:
+            self.run(2)
+            for ref in left():
+                self.poll(ref)
+        return left()
--- /dev/null
+++ b/tests/standins/state.py
@@ -0,0 +1,156 @@
+"""A stand-in for the state service, after its published protocol."""
+
+import json
+from datetime import timedelta
+from urllib.parse import unquote
+
+from badgerroute.transport.http import Request, Response, Server, parse_query
+from badgerroute.transport.loop import Future, Group, Loop
+from tests.standins.net import World
+
+HISTORY = 10_000
+
+
+def reply(status: int, message: object) -> Response:
+    return Response(status, json.dumps(message).encode())
+
+
+class StateService:
+    """Each controller has an address of its own here, so that one alone can be refused."""
+
+    def __init__(self, loop: Loop, world: World, group: Group) -> None:
+        self.loop, self.world = loop, world
+        self.items: dict[str, tuple[object, int, int | None]] = {}
+        self.ledger = 0
+        self.log: list[dict] = []
+        self.leases: dict[int, tuple[timedelta, timedelta]] = {}  # ttl, end
+        self.next_lease = 1
+        self.down = False
+        self.refused: set[str] = set()
+        self.changed = Future()
+        self.drop_answers = 0  # so many transactions are carried out, but their answers are lost
+        self.group = group
+        self._down_since = timedelta(0)
+        group.spawn(self._expire(), "leases")
+
+    def serve(self, who: str) -> str:
+        address = f"state-{who}:2379"
+
+        async def handle(request: Request) -> Response:
+            return await self._handle(who, request)
+
+        server = Server(self.loop, self.group, handle, 1000)
+        self.group.spawn(server.serve(self.world.network(f"state-{who}").listen(address)), "state")
+        return address
+
+    def outage(self, down: bool) -> None:
+        if down and not self.down:
+            self._down_since = self.loop.now()
+        if self.down and not down:  # every lease has its full time again
+            self.leases = {lease: (ttl, self.loop.now() + ttl) for lease, (ttl, _) in self.leases.items()}
+        self.down = down
+
+    async def _expire(self) -> None:
+        while True:
+            await self.loop.sleep(timedelta(milliseconds=50))
+            if self.down:
+                continue
+            for lease in [one for one, (_, end) in self.leases.items() if end < self.loop.now()]:
+                self._end(lease)
+
+    def _end(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        keys = [key for key, (_, _, tether) in self.items.items() if tether == lease]
+        if keys:
+            self.ledger += 1
+            for key in keys:
+                self._remove(key)
+            self._notify()
+
+    def _remove(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self.log.append({"remove": key, "mark": self.ledger})
+
+    def _notify(self) -> None:
+        changed, self.changed = self.changed, Future()
+        changed.set()
+
+    async def _handle(self, who: str, request: Request) -> Response:
+        await self.loop.sleep(timedelta(milliseconds=self.world.random.uniform(1, 8)))
+        if self.down or who in self.refused:
+            return reply(503, {"error": "down"})
+        if request.path == "/txn":
+            return await self._txn(request)
+        if request.path.startswith("/kv/"):
+            return self._get(unquote(request.path.removeprefix("/kv/")))
+        query = parse_query(request.query)
+        if request.path == "/kv":
+            return self._list(query)
+        if request.path == "/follow":
+            return await self._follow(who, query)
+        if request.path == "/grants":
+            lease, self.next_lease = self.next_lease, self.next_lease + 1
+            ttl = timedelta(milliseconds=json.loads(request.body)["ttl_ms"])
+            self.leases[lease] = (ttl, self.loop.now() + ttl)
+            return reply(200, {"tether": lease})
+        if request.path.startswith("/grants/"):
+            lease = int(request.path.split("/")[2])
+            if lease not in self.leases:
+                return reply(404, {})
+            ttl = self.leases[lease][0]
+            self.leases[lease] = (ttl, self.loop.now() + ttl)
+            return reply(200, {})
+        return reply(404, {})
+
+    def _get(self, key: str) -> Response:
+        item = self.items.get(key)
+        if item is None:
+            return reply(404, {"ledger": self.ledger})
+        return reply(200, {"key": key, "value": item[0], "mark": item[1], "tether": item[2]})
+
+    def _list(self, query: dict[str, str]) -> Response:
+        keys = sorted(key for key in self.items if key.startswith(query["under"]) and key > query.get("since", ""))
+        limit = int(query.get("limit", 1000))
+        rows = [{"key": key, "value": self.items[key][0], "mark": self.items[key][1]} for key in keys[:limit]]
+        return reply(200, {"rows": rows, "more": len(keys) > limit, "ledger": self.ledger})
+
+    async def _txn(self, request: Request) -> Response:
+        body = json.loads(request.body)
+        failed = [
+            one["key"]
+            for one in body["if"]
+            if (self.items[one["key"]][1] if one["key"] in self.items else 0) != one["mark"]
+        ]
+        if failed:
+            return reply(409, {"failed": failed, "ledger": self.ledger})
+        for change in body["apply"]:
+            if change.get("tether") is not None and change["tether"] not in self.leases:
+                return reply(400, {"error": "no such lease"})
+        self.ledger += 1
+        for change in body["apply"]:
+            if "write" in change:
+                key = change["write"]
+                self.items[key] = (change["value"], self.ledger, change.get("tether"))
+                self.log.append({"write": key, "value": change["value"], "mark": self.ledger})
+            else:
+                self._remove(change["remove"])
+        self._notify()
+        if self.drop_answers > 0:
+            self.drop_answers -= 1
+            await self.loop.sleep(timedelta(seconds=30))
+        return reply(200, {"ledger": self.ledger})
+
+    async def _follow(self, who: str, query: dict[str, str]) -> Response:
+        since, end = int(query["since"]), self.loop.now() + timedelta(milliseconds=int(query["block_ms"]))
+        while True:
+            if not self.down and who not in self.refused:
+                found = [
+                    one
+                    for one in self.log
+                    if one["mark"] > since and (one.get("write") or one["remove"]).startswith(query["under"])
+                ]
+                if found or self.loop.now() >= end:
+                    return reply(200, {"ledger": self.ledger, "log": found})
+                await self.loop.first(self.changed, end - self.loop.now())
+            else:
+                await self.loop.sleep(timedelta(milliseconds=100))
--- /dev/null
+++ b/tests/standins/workers.py
@@ -0,0 +1,423 @@
+"""Stand-ins for workers: leases, sessions, tokens, images, tasks, gangs; and the cloud that rents them."""
+
+import json
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from badgerroute.transport.http import Client, Request, Response, Server, Unanswered, parse_query
+from badgerroute.transport.loop import Future, Group
+from tests.standins.net import World
+from tests.standins.state import reply
+
+SECOND = timedelta(seconds=1)
+REPORT, LEASE, GANG_WAIT, GANG_PEER = SECOND, 11 * SECOND, 45 * SECOND, 4 * SECOND
+
+
+@dataclass
+class Task:
+    ref: str
+    index: int
+    attempt: int
+    state: str
+    since: timedelta
+    cause: str | None = None
+    kept: bool = False
+    until: timedelta | None = None
+
+    @property
+    def name(self) -> str:
+        return f"{self.ref}/{self.index}"
+
+
+@dataclass
+class Kind:
+    name: str
+    cpus: float
+    memory_gb: float
+    fetch: float = 1.0
+    boot: timedelta = 5 * SECOND
+
+
+@dataclass
+class Worker:
+    site: "Site"
+    name: str
+    kind: Kind
+    zone: str
+    spot: bool
+    group: Group
+    session: int = 1
+    tally: int = 0
+    token: int = 0
+    tasks: dict[str, Task] = field(default_factory=dict)
+    images: set[str] = field(default_factory=set)
+    sick: bool = False
+    hung: bool = False
+    notice_at: timedelta | None = None
+
+    def __post_init__(self) -> None:
+        self.loop = self.site.loop
+        self.address = f"{self.name}:9000"
+        self.leased = self.loop.now()  # when the last answered report had been sent
+        self.changed = Future()
+        network = self.site.world.network(self.name)
+        self.clients = {host: Client(self.loop, network, f"{host}:8080", connect=SECOND) for host in self.site.hosts}
+        self.group.spawn(Server(self.loop, self.group, self._serve, 50).serve(network.listen(self.address)), "direct")
+        self.group.spawn(self._report_duty(), "report")
+        self.group.spawn(self._tick(), "tick")
+
+    # -- reports
+
+    def report(self) -> dict:
+        self.tally += 1
+        notice = None if self.notice_at is None else (self.notice_at - self.loop.now()) / SECOND
+        heads = []
+        for task in self.tasks.values():
+            one = {"head": task.name, "try": task.attempt, "condition": task.state}
+            if task.cause:
+                one |= {"cause": task.cause, "kept": task.kept}
+            heads.append(one)
+        return {
+            "mount": self.name, "address": self.address, "breed": self.kind.name, "pasture": self.zone,
+            "strays": self.spot, "ride": self.session, "tally": self.tally, "crook": self.token,
+            "recall_s": notice, "heads": heads,
+        }  # fmt: skip
+
+    async def _awake(self) -> None:
+        while self.hung:
+            await self.loop.sleep(timedelta(milliseconds=200))
+
+    async def _report_duty(self) -> None:
+        hosts = self.site.hosts
+        at = self.site.world.random.randrange(len(hosts))
+        while True:
+            await self._awake()
+            pause = REPORT * self.site.world.random.uniform(0.75, 1.25)
+            sent, session = self.loop.now(), self.session
+            body = json.dumps(self.report()).encode()
+            self.changed = Future()
+            try:
+                response = await self.clients[hosts[at]].request("POST", "/checkin", body, 4 * SECOND)
+            except Unanswered:
+                response = None
+            await self._awake()
+            late = self.loop.now() - sent > 4 * SECOND
+            if response is not None and not late and response.status == 200:
+                message = json.loads(response.body)
+                if message["crook"] >= self.token and session == self.session:
+                    fresh = message["crook"] > self.token
+                    self.token = message["crook"]
+                    self.leased = sent
+                    self.execute(message["calls"])
+                    if fresh:
+                        self.changed.set()
+            elif response is not None and not late and response.status == 421:
+                boss = json.loads(response.body).get("trail_boss")
+                if boss in hosts and boss != hosts[at]:
+                    at = hosts.index(boss)
+                    continue
+                at = (at + 1) % len(hosts)
+                await self.loop.sleep(SECOND)
+                continue
+            else:
+                at = (at + 1) % len(hosts)
+                await self.loop.sleep(SECOND)
+                continue
+            await self.loop.sleep(SECOND / 2)
+            await self.loop.first(self.changed, pause - SECOND / 2)
+
+    async def _serve(self, request: Request) -> Response:
+        await self._awake()
+        if request.path == "/status":
+            return reply(200, self.report())
+        body = json.loads(request.body)
+        if "crook" not in body or "ride" not in body:
+            return reply(400, {})
+        if body["crook"] < self.token or body["ride"] != self.session:
+            return reply(409, self.report())
+        self.token = body["crook"]
+        for one in body["calls"]:
+            if one["call"] == "start":
+                self.site.rules.breach("start_in_do", f"{one['head']} on {self.name}")
+        self.execute(body["calls"])
+        return reply(200, self.report())
+
+    # -- tasks
+
+    def execute(self, calls: list[dict]) -> None:
+        for call in calls:
+            ref, _, index = call["head"].rpartition("/")
+            task = self.tasks.get(call["head"])
+            if call["call"] == "start":
+                self._start(ref, int(index), call["try"], task)
+            elif task is not None and task.attempt == call["try"]:
+                if call["call"] == "clear" and task.state == "exited":
+                    del self.tasks[task.name]
+                elif call["call"] == "halt":
+                    self._halt(task, call.get("settle_s", 0.0))
+
+    def _start(self, ref: str, index: int, attempt: int, known: Task | None) -> None:
+        name = f"{ref}/{index}"
+        if known is not None and known.attempt == attempt:
+            return
+        job = self.site.jobs.get(ref)
+        now = self.loop.now()
+        task = Task(ref, index, attempt, "fetching", now)
+        if known is not None and known.state != "exited":
+            return  # in use; a second entry under one name can't be shown, and never occurs here
+        self.tasks[name] = task
+        if job is None:
+            task.state, task.cause = "exited", "no_such"
+        elif not self._fits(job):
+            task.state, task.cause = "exited", "no_room"
+        else:
+            self.site.rules.started(self, task)
+            fetch = 0.0 if job["brand"] in self.images else job["image_gb"] / self.kind.fetch
+            task.until = now + fetch * SECOND
+        self.changed.set()
+
+    def _fits(self, job: dict) -> bool:
+        cpus, memory = job["cpus"], job["ram_gb"]
+        for task in self.tasks.values():
+            other = self.site.jobs.get(task.ref)
+            if task.state != "exited" and other is not None and task.until is not None:
+                cpus += other["cpus"]
+                memory += other["ram_gb"]
+        return cpus <= self.kind.cpus + 1e-6 and memory <= self.kind.memory_gb + 1e-6
+
+    def _halt(self, task: Task, settle: float) -> None:
+        if task.state == "exited":
+            return
+        job = self.site.jobs[task.ref]
+        if task.state == "running" and job["waypoint_s"] and settle >= job["pen_s"]:
+            task.state, task.until = "flushing", self.loop.now() + job["pen_s"] * SECOND
+        elif task.state != "flushing" or settle == 0:
+            self._exit(task, "stopped")
+        self.changed.set()
+
+    def _exit(self, task: Task, cause: str, kept: bool = False) -> None:
+        task.state, task.cause, task.kept = "exited", cause, kept
+        self.site.rules.ended(self, task)
+        self.changed.set()
+
+    async def _tick(self) -> None:
+        while True:
+            await self.loop.sleep(timedelta(milliseconds=100))
+            now = self.loop.now()
+            if now - self.leased > LEASE:
+                for task in self.tasks.values():
+                    if task.state != "exited":
+                        self.site.rules.ended(self, task)
+                self.tasks.clear()
+                self.session += 1
+                self.leased = now
+            if self.hung:
+                continue
+            for task in list(self.tasks.values()):
+                self._advance(task, now)
+
+    def _advance(self, task: Task, now: timedelta) -> None:
+        if task.state == "exited":
+            return
+        job = self.site.jobs[task.ref]
+        if task.state == "fetching" and task.until is not None and now >= task.until:
+            self.images.add(job["brand"])
+            if self.sick:
+                self._exit(task, "error")
+            elif task.name in self.site.finished:
+                self._exit(task, "done")
+            else:
+                task.state, task.since, task.until = "waiting", now, None
+        if task.state == "waiting":
+            mates = self.site.mates(task)
+            if job["gait"] == "array" or (
+                len(mates) == job["heads"] and all(one.state in ("waiting", "running") for one in mates)
+            ):
+                for one in mates if job["gait"] == "group" else [task]:
+                    one.state, one.since = "running", now
+                    one.until = now + self.site.run_time(task.ref) * SECOND
+                self.changed.set()
+            elif now - task.since > GANG_WAIT:
+                self._exit(task, "alone")
+        elif task.state == "running":
+            if job["gait"] == "group" and len(self.site.mates(task)) < job["heads"] and not self.site.all_done(task):
+                self._exit(task, "mates_gone")
+            elif task.until is not None and now >= task.until:
+                # A gang completes together: when one task is done, all are.
+                whole = range(job["heads"]) if job["gait"] == "group" else (task.index,)
+                self.site.finished.update(f"{task.ref}/{index}" for index in whole)
+                self._exit(task, "done")
+        elif task.state == "flushing" and task.until is not None and now >= task.until:
+            self._exit(task, "stopped", kept=True)
+
+
+class Rules:
+    """Watches for broken rules, from outside the controllers."""
+
+    def __init__(self, site: "Site") -> None:
+        self.site = site
+        self.broken: list[str] = []
+        self.on: dict[str, Worker] = {}  # task -> the machine it is on
+        self.starts = 0
+
+    def breach(self, rule: str, text: str) -> None:
+        self.broken.append(f"{self.site.loop.now() / SECOND:.2f} {rule}: {text}")
+
+    def started(self, worker: Worker, task: Task) -> None:
+        self.starts += 1
+        job = self.site.jobs[task.ref]
+        other = self.on.get(task.name)
+        if other is not None:
+            self.breach("ran_twice", f"{task.name} on {worker.name} and {other.name}")
+        self.on[task.name] = worker
+        if job["breeds"] is not None and worker.kind.name not in job["breeds"]:
+            self.breach("wrong_place", f"{task.name} on type {worker.kind.name}")
+        if job["pasture"] not in (None, worker.zone) or (worker.spot and not job["strays"]):
+            self.breach("wrong_place", f"{task.name} in {worker.zone}")
+        zones = [one.zone for name, one in self.on.items() if name.rpartition("/")[0] == task.ref]
+        if job["together"] and len(set(zones)) > 1:
+            self.breach("wrong_place", f"{task.ref} in {set(zones)}")
+        if job["spread"] and zones.count(worker.zone) > (job["heads"] + 1) // 2:
+            self.breach("wrong_place", f"{task.ref} not spread")
+        team = job["crew"]
+        used = sum(
+            self.site.jobs[name.rpartition("/")[0]]["cpus"]
+            for name in self.on
+            if self.site.jobs[name.rpartition("/")[0]]["crew"] == team
+        )
+        if used > self.site.limits[team] + 1e-6:
+            self.breach("quota", f"{team} uses {used}")
+        self.cancelled(task)
+
+    def cancelled(self, task: Task) -> None:
+        told = self.site.withdrawn.get(task.ref)
+        if told is not None and self.site.loop.now() - told > self.site.cancel:
+            self.breach("ran_cancelled", task.name)
+
+    def ended(self, worker: Worker, task: Task) -> None:
+        if self.on.get(task.name) is worker:
+            del self.on[task.name]
+
+    def sweep(self) -> None:
+        """Called now and then: tasks that outlive their job's cancellation."""
+        for name in self.on:
+            ref, _, index = name.rpartition("/")
+            self.cancelled(Task(ref, int(index), 0, "", timedelta(0)))
+
+
+class Site:
+    """Workers, cloud and jobs as they really are."""
+
+    def __init__(self, world: World, hosts: list[str], kinds: list[Kind], zones: list[str], limits: dict[str, float],
+                 capacity: int, cancel: timedelta) -> None:  # fmt: skip
+        self.world, self.loop = world, world.loop
+        self.hosts, self.zones, self.limits, self.cancel = hosts, zones, limits, cancel
+        self.kinds = {kind.name: kind for kind in kinds}
+        self.capacity = capacity  # ordinary machines of a type in a zone; of spot machines there is one
+        self.jobs: dict[str, dict] = {}
+        self.finished: set[str] = set()
+        self.withdrawn: dict[str, timedelta] = {}
+        self.workers: dict[str, Worker] = {}
+        self.booting: dict[str, tuple[Kind, str, bool]] = {}
+        self.rented: dict[str, list[str]] = {}
+        self.rules = Rules(self)
+        self.group = Group(self.loop, "site")
+        self.cloud_down = False
+        self.lose_rental_answers = 0
+        self.never_boots = 0
+        self._counter = 0
+        server = Server(self.loop, self.group, self._cloud, 100)
+        self.group.spawn(server.serve(world.network("cloud").listen("cloud:8443")), "cloud")
+
+    def run_time(self, ref: str) -> float:
+        return self.jobs[ref]["trek_s"]
+
+    def mates(self, task: Task) -> list[Task]:
+        return [
+            one
+            for worker in self.workers.values()
+            if not worker.hung
+            for one in worker.tasks.values()
+            if one.ref == task.ref and one.attempt == task.attempt and one.state != "exited"
+        ]
+
+    def all_done(self, task: Task) -> bool:
+        job = self.jobs[task.ref]
+        return any(f"{task.ref}/{index}" in self.finished for index in range(job["heads"]))
+
+    def add_worker(self, kind: str, zone: str, spot: bool = False, name: str | None = None) -> Worker:
+        if name is None:
+            self._counter += 1
+            name = f"host-{self._counter:06d}"
+        worker = Worker(self, name, self.kinds[kind], zone, spot, Group(self.loop, name))
+        self.workers[name] = worker
+        return worker
+
+    def remove_worker(self, name: str) -> None:
+        self.booting.pop(name, None)
+        worker = self.workers.pop(name, None)
+        if worker is not None:
+            for task in worker.tasks.values():
+                self.rules.ended(worker, task)
+            worker.group.cancel()
+            self.world.crash(name)
+
+    async def _boot(self, name: str) -> None:
+        await self.loop.sleep(self.booting[name][0].boot)
+        if name in self.booting:
+            kind, zone, spot = self.booting.pop(name)
+            self.add_worker(kind.name, zone, spot, name)
+
+    async def _cloud(self, request: Request) -> Response:
+        await self.loop.sleep(timedelta(milliseconds=50))
+        if self.cloud_down:
+            return reply(503, {"error": "trouble"})
+        if request.path == "/catalog":
+            breeds = [
+                {"label": kind.name, "cpus": kind.cpus, "accelerators": 0, "ram_gb": kind.memory_gb, "local_gb": 40,
+                 "fetch_gb_per_s": kind.fetch, "price": 1.0, "low_price": 0.3, "startup_s": kind.boot / SECOND,
+                 "pastures": self.zones}
+                for kind in self.kinds.values()
+            ]  # fmt: skip
+            return reply(200, {"breeds": breeds})
+        if request.path == "/rentals/delete":
+            for name in json.loads(request.body)["mounts"]:
+                self.remove_worker(name)
+            return reply(200, {})
+        if request.path == "/rentals" and request.method == "POST":
+            return await self._rent(json.loads(request.body))
+        query = parse_query(request.query)
+        rows = [
+            {"ref": name, "address": f"{name}:9000", "breed": kind.name, "pasture": zone, "strays": spot,
+             "condition": condition, "held_s": 1.0}
+            for name, (kind, zone, spot, condition) in sorted(self._all().items())
+            if name > query.get("since", "")
+        ]  # fmt: skip
+        return reply(200, {"mounts": rows, "more": False})
+
+    def _all(self) -> dict[str, tuple[Kind, str, bool, str]]:
+        up = {name: (one.kind, one.zone, one.spot, "running") for name, one in self.workers.items()}
+        return up | {name: (*one, "booting") for name, one in self.booting.items()}
+
+    async def _rent(self, body: dict) -> Response:
+        if body["hire"] not in self.rented:
+            wanted = (body["breed"], body["pasture"], body["strays"])
+            taken = sum((kind.name, zone, spot) == wanted for kind, zone, spot, _ in self._all().values())
+            room = max(0, (1 if body["strays"] else self.capacity) - taken)
+            if room == 0:
+                return reply(503, {"error": "no capacity"})
+            names = []
+            for _ in range(min(room, body["number"])):
+                self._counter += 1
+                name = f"host-{self._counter:06d}"
+                self.booting[name] = (self.kinds[body["breed"]], body["pasture"], body["strays"])
+                if self.never_boots > 0:
+                    self.never_boots -= 1
+                else:
+                    self.group.spawn(self._boot(name), "boot")
+                names.append(name)
+            self.rented[body["hire"]] = names
+        if self.lose_rental_answers > 0:
+            self.lose_rental_answers -= 1
+            await self.loop.sleep(timedelta(seconds=60))
+        return reply(200, {"mounts": self.rented[body["hire"]]})
--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,353 @@
+"""The rules under failures, in virtual time: every case is a day with a fault, and no rule may break."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import pytest
+
+from badgerroute.coordination.owner import Owner
+from badgerroute.coordination.shares import Shares
+from tests.standins.day import HOSTS, SECOND, Day, job
+
+
+def load(day: Day) -> None:
+    """Jobs of every sort, more than the machines can run at once."""
+    day.run(4)
+    for number in range(3):
+        day.submit(job(f"run-a{number}", heads=30, trek_s=6.0, crew="blue"))
+        day.submit(job(f"run-b{number}", heads=12, trek_s=9.0, crew="red", rank="idle", brand=f"img-{number}"))
+        day.submit(job(f"run-g{number}", gait="group", heads=2, cpus=6.0, rank="urgent", waypoint_s=3.0, pen_s=1.0))
+    day.submit(job("run-t", heads=4, together=True, trek_s=8.0))
+    day.submit(job("run-s", heads=5, spread=True, trek_s=8.0, crew="red"))
+    day.submit(job("run-z", heads=4, pasture="b", strays=False))
+
+
+def owner_host(day: Day, part: int) -> str | None:
+    return next((host for host, (one, _) in day.controllers.items() if part in one.owners), None)
+
+
+def crash_one(day: Day) -> None:
+    day.restart(day.random.choice(HOSTS), 3 * SECOND)
+
+
+def crash_all(day: Day) -> None:
+    for host in HOSTS:
+        day.restart(host, timedelta(seconds=day.random.uniform(2, 4)))
+
+
+def crash_for_long(day: Day) -> None:
+    day.restart(day.random.choice(HOSTS), 25 * SECOND)
+
+
+def restart_at_once(day: Day) -> None:
+    """Back within a fraction of a second, again and again: the lease of the earlier life still runs."""
+    host = day.random.choice(HOSTS)
+    for _ in range(3):
+        day.restart(host, SECOND / 5)
+        day.run(1.3)
+
+
+def roll(day: Day) -> None:
+    for host in HOSTS:
+        day.restart(host, 3 * SECOND)
+        day.run(6)
+
+
+def outage(day: Day) -> None:
+    day.state.outage(True)
+    day.run(10)
+    day.state.outage(False)
+
+
+def long_outage(day: Day) -> None:
+    day.state.outage(True)
+    day.run(45)
+    day.state.outage(False)
+
+
+def crash_all_in_outage(day: Day) -> None:
+    day.state.outage(True)
+    crash_all(day)
+    day.run(8)
+    day.state.outage(False)
+
+
+def refused_alone(day: Day) -> None:
+    host = day.random.choice(HOSTS)
+    day.state.refused.add(host)
+    day.run(40)
+    day.state.refused.discard(host)
+
+
+def cut(day: Day, host: str, others: list[str], mode: str, seconds: float) -> None:
+    for other in others:
+        day.world.cut(host, other, mode)
+    day.run(seconds)
+    for other in others:
+        day.world.heal(host, other)
+
+
+def cut_from_state(mode: str) -> Callable[[Day], None]:
+    def fault(day: Day) -> None:
+        host = day.random.choice(HOSTS)
+        cut(day, host, [f"state-{host}"], mode, 35)
+
+    return fault
+
+
+def cut_from_workers(mode: str) -> Callable[[Day], None]:
+    def fault(day: Day) -> None:
+        cut(day, day.random.choice(HOSTS), list(day.site.workers), mode, 25)
+
+    return fault
+
+
+def cut_from_siblings(mode: str) -> Callable[[Day], None]:
+    def fault(day: Day) -> None:
+        host = day.random.choice(HOSTS)
+        cut(day, host, [one for one in HOSTS if one != host], mode, 25)
+
+    return fault
+
+
+def cut_from_all(mode: str) -> Callable[[Day], None]:
+    def fault(day: Day) -> None:
+        host = day.random.choice(HOSTS)
+        others = [one for one in HOSTS if one != host] + list(day.site.workers) + [f"state-{host}", "cloud"]
+        cut(day, host, others, mode, 30)
+
+    return fault
+
+
+def takeover_with_hung_machine(day: Day) -> None:
+    """A machine hangs, its owner dies, and the machine goes on within its lease."""
+    worker = day.random.choice(list(day.site.workers.values()))
+    worker.hung = True
+    crash_one(day)
+    day.run(7)
+    worker.hung = False
+
+
+def hung_machines(day: Day) -> None:
+    workers = day.random.sample(list(day.site.workers.values()), 2)
+    for worker in workers:
+        worker.hung = True
+    day.run(20)
+    for worker in workers:
+        worker.hung = False
+
+
+def machine_cut(mode: str) -> Callable[[Day], None]:
+    def fault(day: Day) -> None:
+        name = day.random.choice(list(day.site.workers))
+        cut(day, name, HOSTS, mode, 18)
+
+    return fault
+
+
+def machines_vanish(day: Day) -> None:
+    for name in day.random.sample(list(day.site.workers), 2):
+        day.site.remove_worker(name)
+    day.run(5)
+
+
+def sick_machine(day: Day) -> None:
+    worker = day.random.choice(list(day.site.workers.values()))
+    worker.sick = True
+    day.run(20)
+    worker.sick = False
+
+
+def spot_notice(day: Day) -> None:
+    worker = day.random.choice(list(day.site.workers.values()))
+    worker.notice_at = day.loop.now() + 6 * SECOND
+    worker.changed.set()
+    day.run(6)
+    day.site.remove_worker(worker.name)
+
+
+def lost_answers(day: Day) -> None:
+    """Transactions are carried out, but nobody hears of it."""
+    for _ in range(5):
+        day.state.drop_answers = 2
+        day.run(2)
+
+
+def lost_rental_answer(day: Day) -> None:
+    day.site.lose_rental_answers = 2
+    for name in list(day.site.workers)[:3]:
+        day.site.remove_worker(name)
+    day.run(20)
+
+
+def cloud_outage(day: Day) -> None:
+    day.site.cloud_down = True
+    machines_vanish(day)
+    crash_one(day)
+    day.run(20)
+    day.site.cloud_down = False
+
+
+def nothing(day: Day) -> None:
+    """A quiet day."""
+
+
+FAULTS: dict[str, Callable[[Day], None]] = {
+    "quiet": nothing,
+    "crash_one": crash_one,
+    "crash_all": crash_all,
+    "crash_for_long": crash_for_long,
+    "restart_at_once": restart_at_once,
+    "roll": roll,
+    "outage": outage,
+    "long_outage": long_outage,
+    "crash_all_in_outage": crash_all_in_outage,
+    "refused_alone": refused_alone,
+    "state_reset": cut_from_state("reset"),
+    "state_hold": cut_from_state("hold"),
+    "workers_reset": cut_from_workers("reset"),
+    "workers_hold": cut_from_workers("hold"),
+    "siblings_reset": cut_from_siblings("reset"),
+    "siblings_hold": cut_from_siblings("hold"),
+    "all_reset": cut_from_all("reset"),
+    "all_hold": cut_from_all("hold"),
+    "takeover_hung": takeover_with_hung_machine,
+    "hung_machines": hung_machines,
+    "machine_reset": machine_cut("reset"),
+    "machine_hold": machine_cut("hold"),
+    "machines_vanish": machines_vanish,
+    "sick_machine": sick_machine,
+    "spot_notice": spot_notice,
+    "lost_answers": lost_answers,
+    "lost_rental_answer": lost_rental_answer,
+    "cloud_outage": cloud_outage,
+}
+
+
+def play(day: Day, fault: Callable[[Day], None]) -> list[str]:
+    """The load, the fault in its midst, cancellations during it; what is left unfinished at the end."""
+    load(day)
+    day.run(day.random.uniform(1, 6))
+    day.loop.later(2 * SECOND, lambda: day.group.spawn(_cancel_later(day, "run-b1"), "cancel"))
+    fault(day)
+    day.submit(job("run-late", heads=5))
+    day.poll("run-nobody")
+    return day.finish()
+
+
+async def _cancel_later(day: Day, ref: str) -> None:
+    """A user who cancels while the fault goes on, and repeats it until told."""
+    from badgerroute.transport.http import Client, Unanswered
+
+    while True:
+        client = Client(day.loop, day.user, f"{day.random.choice(HOSTS)}:8080")
+        before = day.loop.now()
+        try:
+            response = await client.request("POST", f"/v1/jobs/{ref}/cancel", b"", 5 * SECOND, fresh=True)
+            if response.status == 200:
+                if b"withdrawn" in response.body:
+                    day.site.withdrawn.setdefault(ref, before)
+                return
+        except Unanswered:
+            pass
+        finally:
+            client.drop()
+        await day.loop.sleep(SECOND)
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_rules_hold(name: str) -> None:
+    day = Day(seed=sum(name.encode()))
+    left = play(day, FAULTS[name])
+    assert day.rules.broken == []
+    assert left == [], "accepted jobs must run"
+    assert day.rules.starts > 100
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_rules_hold_under_several_faults(seed: int) -> None:
+    day = Day(seed=1000 + seed)
+    load(day)
+    harmless = [fault for name, fault in FAULTS.items() if name not in ("long_outage", "quiet")]
+    for fault in day.random.sample(harmless, 4):
+        fault(day)
+        day.run(day.random.uniform(0, 4))
+    assert day.finish(400) == []
+    assert day.rules.broken == []
+
+
+# The checker is worth something only if it catches owners that cheat.
+
+
+def skip_fencing(day: Day, monkeypatch: pytest.MonkeyPatch) -> None:
+    """An owner that places before its members are fenced."""
+    monkeypatch.setattr("badgerroute.scheduling.part.Part.settle", lambda self: setattr(self, "settled", True) or True)
+    monkeypatch.setattr("badgerroute.scheduling.model.Machine.usable", property(lambda self: True))
+
+
+def share_given_while_used(day: Day, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Owners that ignore what they use when they count what fits their share."""
+    monkeypatch.setattr("badgerroute.scheduling.part.Part.fits_share", lambda self, job, tasks=1: tasks)
+
+
+def start_in_do(day: Day, monkeypatch: pytest.MonkeyPatch) -> None:
+    """An owner that sends starts to a machine's own address."""
+    real = Owner.direct
+
+    async def direct(self: Owner, machine: object, commands: list) -> bool:
+        for placement in machine.placements.values():
+            placement.phase = placement.phase.RESERVED
+        return await real(self, machine, Sneaky(self.part.commands(machine, self._loop.now(), starts=True)))
+
+    class Sneaky(list):
+        def __iter__(self):  # hides from the filter that keeps starts out
+            for one in list.__iter__(self):
+                yield type("Command", (), {"kind": "hidden", "inner": one})
+
+    monkeypatch.setattr(Owner, "direct", direct)
+    monkeypatch.setattr(
+        "badgerroute.coordination.owner.encode",
+        lambda message: __import__("msgspec").json.encode(
+            type(message)(message.token, message.session, [getattr(one, "inner", one) for one in message.commands])
+            if hasattr(message, "session")
+            else message
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ("cheat", "rule"),
+    [(skip_fencing, "ran_twice"), (share_given_while_used, "quota"), (start_in_do, "start_in_do")],
+    ids=["skip_fencing", "share_given_while_used", "start_in_do"],
+)
+def test_checker_catches(cheat: Callable, rule: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    caught: list[str] = []
+    for seed in range(6):
+        day = Day(seed=seed)
+        cheat(day, monkeypatch)
+        load(day)
+        day.run(2)
+        crash_one(day)
+        takeover_with_hung_machine(day)
+        day.finish(60)
+        caught += [text.split()[1].rstrip(":") for text in day.rules.broken]
+        if rule in caught:
+            break
+    assert rule in caught
+
+
+def test_share_moves_only_while_unused(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A share that is being given away counts as given before the write is known to be applied."""
+    seen: list[tuple[float, float]] = []
+    real = Shares._write
+
+    async def write(self: Shares, team: str, writer: int, changed: dict) -> bool:
+        if len(changed) == 2:
+            seen.append((self.of(writer, team)[0], changed[writer][0]))
+        return await real(self, team, writer, changed)
+
+    monkeypatch.setattr(Shares, "_write", write)
+    day = Day(seed=5)
+    play(day, nothing)
+    assert seen, "shares had to move on this day"
+    assert all(abs(counted - given) < 1e-6 for counted, given in seen)
