--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -436,6 +436,7 @@
         try:
             job = parse_submission(request.body)
         except Malformed as problem:
+            log.info("event=submission_malformed error=%s", problem)
             return error(400, str(problem))
         if not self.replica.ready.done:
             return come_back("starting")
--- a/badgerroute/protocol/users.py
+++ b/badgerroute/protocol/users.py
@@ -12,7 +12,6 @@
 REF = re.compile(r"run-[0-9A-Za-z_.-]{1,60}\Z")
 Text = Annotated[str, Meta(min_length=1, max_length=120)]
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
-Positive = Annotated[float, Meta(gt=0, le=1e9)]
 
 
 class Priority(Enum):
@@ -36,7 +35,7 @@
     ref: Text
     job_class: Text = field(name="herd")
     team: Text = field(name="crew")
-    kind: Literal["array", "group"] = field(name="gait")
+    kind: Literal["array", "group", "daemon"] = field(name="gait")
     priority: Priority = field(name="rank")
     tasks: Annotated[int, Meta(ge=1, le=100_000)] = field(name="heads")
     cpus: Amount
@@ -47,7 +46,7 @@
     together: bool
     spread: bool
     spot: bool = field(name="strays")
-    estimate_s: Positive = field(name="trek_s")
+    estimate_s: Amount = field(name="trek_s")
     checkpoint_s: Amount = field(name="waypoint_s")
     save_s: Amount = field(name="pen_s")
     types: list[Text] | None = field(name="breeds", default=None)
@@ -66,6 +65,8 @@
     job = decode(body, _submission)
     if not REF.match(job.ref):
         raise Malformed("ref: not a job id")
+    if job.estimate_s == 0 and job.kind != "daemon":  # a daemon runs until it is cancelled: docs/questions.md
+        raise Malformed("trek_s: must be above 0")
     if job.cpus == 0 and job.accelerators == 0 and job.memory_gb == 0:
         raise Malformed("cpus: a task must take something of its machine")
     return job
--- a/badgerroute/scheduling/ladder.py
+++ b/badgerroute/scheduling/ladder.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 from enum import IntEnum
 
-from badgerroute.scheduling.model import Job, Machine
+from badgerroute.scheduling.model import ZERO, Job, Machine
 from badgerroute.settings import Scheduling
 
 
@@ -48,13 +48,25 @@
 
 
 def allowed(
-    job: Job, wait: timedelta, fetch: timedelta, images: Whereabouts, correction: float, settings: Scheduling
+    job: Job,
+    wait: timedelta,
+    fetch: timedelta,
+    images: Whereabouts,
+    correction: float,
+    settings: Scheduling,
+    start_within: timedelta | None = None,
 ) -> Rung:
-    """The highest rung that a task which has waited so long may use."""
+    """The highest rung that a task which has waited so long may use.
+
+    `start_within` is when the task is expected to start: it must not wait so long for a cached image that
+    fetching it elsewhere would come too late (ours).
+    """
     if not images.cached(job.spec.image):
         return Rung.ANY
     step = settings.tau * run_time(job, correction)
     cap = min(fetch, settings.wait_cap)
+    if start_within is not None:
+        cap = max(ZERO, min(cap, start_within - fetch))
     if wait >= min(2 * step, cap):
         return Rung.ANY
     if wait >= min(step, cap):
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -128,7 +128,8 @@
             wait = job.waited(lowest(bits), now)
             correction = self.part.estimates.correction(spec.job_class)
             fetch = ladder.fetch_time(job, machine)
-            if ladder.allowed(job, wait, fetch, self._images, correction, self._settings) < rung:
+            within = self._objectives.start_within(job)
+            if ladder.allowed(job, wait, fetch, self._images, correction, self._settings, within) < rung:
                 return False
         if job.desire < 1.0:
             self._begin_desire(job, now)
@@ -198,7 +199,8 @@
                 continue
             rung = ladder.rung_of(job, machine, self._images)
             fetch = ladder.fetch_time(job, machine)
-            if rung > ladder.allowed(job, wait, fetch, self._images, correction, self._settings):
+            within = self._objectives.start_within(job)
+            if rung > ladder.allowed(job, wait, fetch, self._images, correction, self._settings, within):
                 blocked_by_rung = True
                 continue
             options.append((rung, machine.free.cpus, machine))
