Room made by preemption is held for the job it was made for

Cause: a guaranteed job had room made, could not use it because its ladder still waited for a cached image, and the room went back to the work that had been stopped, every second.

--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -130,7 +130,8 @@
     strays: set[tuple[str, int, int]] = field(default_factory=set)  # on it, but none of ours: to be halted
     images: dict[str, float] = field(default_factory=dict)  # image -> GB, least recently used first
     failed_jobs: dict[str, int] = field(default_factory=dict)
-    held_for: str | None = None  # gang whose turn it is here: nothing else starts
+    held_for: str | None = None  # job that room was made for here
+    held_until: timedelta | None = None
     idle_since: timedelta | None = None
     avoid_until: timedelta = ZERO
 
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -16,6 +16,7 @@
 
 log = logging.getLogger("badgerroute.planner")
 ORDER_KEPT = timedelta(milliseconds=250)
+HELD = timedelta(seconds=6)  # how long room that was made for an array waits for its tasks
 PATIENCE = 3  # room is made by force once a third of the expected time to start has passed
 
 
@@ -86,18 +87,25 @@
                     self._fill_cursor = (self._fill_cursor + looked) % max(1, len(self._order))
                     return started
                 looked += len(jobs)
-                if machine.held_for is None or self._may_pass(machine, jobs):
-                    started += self._fill_class(machine, jobs, now, beyond)
+                if machine.held_for is not None:
+                    jobs = self._outranking(machine, jobs, now)
+                started += self._fill_class(machine, jobs, now, beyond)
         self._fill_cursor = 0
         return started
 
-    def _may_pass(self, machine: Machine, jobs: list[Job]) -> bool:
-        """A machine held for a gang takes only work that the gang would not outrank."""
-        gang = self.part.jobs.get(machine.held_for or "")
-        if gang is None or not gang.waiting_bits:
+    def _outranking(self, machine: Machine, jobs: list[Job], now: timedelta) -> list[Job]:
+        """A machine that room was made on for a job takes only that job, and what outranks it.
+
+        Else the room would go back to the work that was just stopped, and be made again, for ever.
+        """
+        holder = self.part.jobs.get(machine.held_for or "")
+        if holder is None or not holder.waiting_bits:
             machine.held_for = None
-            return True
-        return bool(jobs) and self._class(jobs[0]) < self._class(gang)
+            return jobs
+        if machine.held_until is not None and now > machine.held_until:
+            machine.held_for = machine.held_until = None
+            return jobs
+        return [job for job in jobs if job is holder or self._class(job) < self._class(holder)]
 
     def _fill_class(self, machine: Machine, jobs: list[Job], now: timedelta, beyond: bool) -> int:
         started = 0
@@ -121,7 +129,7 @@
             return False
         if machine.name in job.failed_on or ladder.rung_of(job, machine, self._images) is not rung:
             return False
-        if rung is not ladder.Rung.CACHED:
+        if rung is not ladder.Rung.CACHED and machine.held_for != job.ref:
             bits = job.waiting_bits
             if not bits:
                 return False
@@ -147,7 +155,15 @@
         if not self.part.fits_share(job):
             self._lacks(job, bits.bit_count())
             return False
-        self.part.place(job, lowest(bits), self.part.next_attempt(), machine, now, Phase.RESERVED)
+        index = lowest(bits)
+        log.debug(
+            "event=place task=%s/%d machine=%s waited=%.1f",
+            job.ref,
+            index,
+            machine.name,
+            job.waited(index, now).total_seconds(),
+        )
+        self.part.place(job, index, self.part.next_attempt(), machine, now, Phase.RESERVED)
         return True
 
     @staticmethod
@@ -210,6 +226,13 @@
                 self._make_room_for_gang(job, tasks, now)
             return False
         attempt = self.part.next_attempt()
+        log.debug(
+            "event=place_gang job=%s machines=%s waited=%.1f cached=%d",
+            job.ref,
+            ",".join(machine.name for machine in chosen),
+            wait.total_seconds(),
+            sum(job.spec.image in machine.images for machine in chosen),
+        )
         job.gang_attempt = attempt
         bits = job.waiting_bits
         for machine in chosen:
@@ -322,7 +345,7 @@
         if len(options) < tasks:
             return
         for _, _, machine, victims in options[:tasks]:
-            machine.held_for = job.ref
+            machine.held_for, machine.held_until = job.ref, None
             for victim in victims:
                 self._preempt(victim, job)
 
@@ -365,9 +388,12 @@
             if machine.held_for is None:
                 found = self._clear_out(machine, job, now)
                 if found is not None and found[1]:
-                    options.append((found[0], machine.name, found[1]))
-        options.sort(key=lambda one: one[:2])
-        for _, _, victims in options[:wanted]:
+                    uncached = ladder.rung_of(job, machine, self._images) is not ladder.Rung.CACHED
+                    options.append((uncached, found[0], machine.name, machine, found[1]))
+        options.sort(key=lambda one: one[:3])
+        for _, _, _, machine, victims in options[:wanted]:
+            machine.held_for = job.ref
+            machine.held_until = now + HELD
             for victim in victims:
                 self._preempt(victim, job)
         return min(wanted, len(options))
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -94,7 +94,7 @@
 } | {
     f"{name}={value!r}": json.dumps(GOOD | {name: value}).encode()
     for name, value in [
-        ("ref", "job 1"), ("ref", ""), ("ref", 5), ("ref", "run-" + "x" * 200), ("gait", "daemon"), ("rank", "high"),
+        ("ref", "job 1"), ("ref", ""), ("ref", 5), ("ref", "run-" + "x" * 200), ("gait", "demon"), ("rank", "high"),
         ("heads", 0), ("heads", -1), ("heads", 100_001), ("heads", 2.5), ("heads", "3"), ("heads", 10**30),
         ("cpus", -1), ("cpus", "1"), ("cpus", None), ("ram_gb", -0.5), ("trek_s", 0), ("trek_s", -3),
         ("waypoint_s", -1), ("together", 1), ("spread", "no"), ("strays", None), ("breeds", "g8"), ("breeds", [1]),
