--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -17,6 +17,7 @@
 log = logging.getLogger("badgerroute.planner")
 ORDER_KEPT = timedelta(milliseconds=250)
 HELD = timedelta(seconds=6)  # how long room that was made for an array waits for its tasks
+BESIDE = timedelta(seconds=6)  # how long a small task passes by an empty machine for one in use
 PATIENCE = 3  # room is made by force once a third of the expected time to start has passed
 
 
@@ -75,6 +76,7 @@
         if machine.free.cpus <= 1e-6 and machine.free.memory_gb <= 1e-6:
             return 0
         self._refresh(now)
+        spared = self._room_beside(machine) if not machine.placements and machine.held_for is None else None
         order = (
             self._order[self._fill_cursor :] + self._order[: self._fill_cursor] if self._fill_cursor else self._order
         )
@@ -89,10 +91,34 @@
                 looked += len(jobs)
                 if machine.held_for is not None:
                     jobs = self._outranking(machine, jobs, now)
+                if spared is not None:
+                    jobs = [job for job in jobs if not self._fits_beside(job, spared, now)]
                 started += self._fill_class(machine, jobs, now, beyond)
         self._fill_cursor = 0
         return started
 
+    def _room_beside(self, machine: Machine) -> list[Machine]:
+        """Machines in use with room left. Small tasks go there first, so that whole machines stay free for gangs."""
+        return [
+            one
+            for one in self.part.machines.values()
+            if one.placements and one.usable and one.held_for is None and one.zone == machine.zone
+        ]
+
+    def _fits_beside(self, job: Job, machines: list[Machine], now: timedelta) -> bool:
+        """Whether all that waits of a job would fit on machines in use, at its report or the one after."""
+        bits = job.waiting_bits
+        if not bits or now - job.requeued.get(lowest(bits), job.since) > BESIDE:
+            return False
+        left = bits.bit_count()
+        for machine in machines:
+            if allows(job.spec, machine.kind.name, machine.zone, machine.spot):
+                if ladder.rung_of(job, machine, self._images) is ladder.Rung.CACHED:
+                    left -= machine.free.times(job.need)
+                    if left <= 0:
+                        return True
+        return False
+
     def _outranking(self, machine: Machine, jobs: list[Job], now: timedelta) -> list[Job]:
         """A machine that room was made on for a job takes only that job, and what outranks it.
 
