--- a/badgerroute/coordination/fleet.py
+++ b/badgerroute/coordination/fleet.py
@@ -248,6 +248,7 @@
                 bins.extend((pending.place, capacity_of(kind)) for _ in range(pending.count))
         teams = {team.name: team for team in self._settings.params.teams}
         wanted: dict[Place, int] = {}
+        soon = sum(part.freeing for part in summaries)
         wants.sort(key=lambda want: (not want.guaranteed, -want.level, -want.waited_s))
         for want in wants:
             team = teams.get(want.team)
@@ -259,6 +260,11 @@
                 continue
             used[team.name] = used.get(team.name, 0.0) + count * want.cpus
             used_gpus[team.name] = used_gpus.get(team.name, 0.0) + count * want.accelerators
+            if not want.gang and want.cpus > 0:
+                # Running tasks will have ended, and left their images behind, before a new machine is of use.
+                waits = min(count, int(soon / want.cpus))
+                soon -= waits * want.cpus
+                count -= waits
             self._fit(want, count, bins, wanted)
         return wanted
 
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -512,6 +512,7 @@
             images=images,
             soft=soft,
             wants=wants,
+            freeing=self.planner.freeing(now),
             running=running,
             used=used,
         )
--- a/badgerroute/protocol/mesh.py
+++ b/badgerroute/protocol/mesh.py
@@ -43,6 +43,7 @@
     images: dict[str, tuple[float, float]]  # image -> free processors beside it: in all, and on one machine at most
     soft: dict[int, list[Bin]]  # level -> room there would be for it if lesser work were stopped
     wants: list[Want]
+    freeing: float  # processors of small tasks that should end before a new machine could serve
     running: dict[str, int]
     used: dict[str, tuple[float, float]]
 
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -284,6 +284,21 @@
                 found.append((machine, room))
         return found
 
+    def freeing(self, now: timedelta) -> float:
+        """Processors of array tasks that should end before a new machine could boot and fetch an image."""
+        total = 0.0
+        for job in self.part.jobs.values():
+            if job.spec.gang or not job.placed:
+                continue
+            run = ladder.run_time(job, self.part.estimates.correction(job.spec.job_class))
+            for placement in job.placed.values():
+                machine = placement.machine
+                ready = timedelta(seconds=machine.kind.boot_s) + ladder.fetch_time(job, machine)
+                ran = ZERO if placement.running_since is None else now - placement.running_since
+                if placement.running_since is not None and run - ran < ready:
+                    total += job.need.cpus
+        return total
+
     def stuck_gangs(self, now: timedelta) -> list[Job]:
         """Gangs that have waited long and for which no room could be made in this part."""
         return [
