--- a/badgerroute/scheduling/objectives.py
+++ b/badgerroute/scheduling/objectives.py
@@ -12,12 +12,18 @@
     def __init__(self, objectives: list[Objective]) -> None:
         self._wait: dict[str, timedelta] = {}
         self._guarantee = PATIENT
+        self._finish: dict[str, list[timedelta]] = {}
+        self._times: dict[str, list[float]] = {}
         for one in objectives:
+            if one.kind == "deadline" and one.job_class is not None:
+                self._times.setdefault(one.job_class, []).append(one.times or 1.0)
             if one.within_s is None:
                 continue
             within = timedelta(seconds=one.within_s)
             if one.kind == "wait" and one.job_class is not None:
                 self._wait[one.job_class] = min(within, self._wait.get(one.job_class, within))
+            elif one.kind == "finished" and one.job_class is not None:
+                self._finish.setdefault(one.job_class, []).append(within)
             elif one.kind == "guarantee":
                 self._guarantee = min(self._guarantee, within)
 
@@ -26,6 +32,14 @@
         within = self._wait.get(job.spec.job_class, PATIENT)
         return min(within, self._guarantee) if job.guaranteed else within
 
+    def missed(self, job: Job, now: timedelta, run: timedelta) -> int:
+        """How many of the times by which the job should be complete can't be met any more."""
+        due = list(self._finish.get(job.spec.job_class, ()))
+        if job.spec.deadline_s is not None:
+            deadline = timedelta(seconds=job.spec.deadline_s)
+            due += [deadline * times for times in self._times.get(job.spec.job_class, ())]
+        return sum(now - job.accepted + run > one for one in due)
+
     @property
     def tightest(self) -> timedelta:
         return min([self._guarantee, *self._wait.values()])
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -41,6 +41,7 @@
         self.part = part
         self._settings, self._objectives = settings, objectives
         self._order: list[Job] = []
+        self._tiers: dict[str, int] = {}
         self._ordered_at = -timedelta(days=1)
         self._images = ladder.Whereabouts([])
         self._gang_cursor = 0
@@ -56,9 +57,20 @@
         self._ordered_at = now
         self._images = ladder.Whereabouts(self.part.machines.values())
         waiting = [job for job in self.part.jobs.values() if job.waiting_bits and job.blocked_until <= now]
-        waiting.sort(key=lambda job: (self._class(job), job.accepted))
+        self._tiers = {job.ref: self._objectives.missed(job, now, self._run_time(job)) for job in waiting}
+        waiting.sort(key=lambda job: (self._group(job), job.accepted))
         self._order = waiting
 
+    def _run_time(self, job: Job) -> timedelta:
+        return ladder.run_time(job, self.part.estimates.correction(job.spec.job_class))
+
+    def _group(self, job: Job) -> tuple[int, bool, int]:
+        """Jobs among which the least held goes first: alike in class, and in how late they must be already.
+
+        What can still be done in time comes before what can't: a late job gains nothing by being less late.
+        """
+        return (*self._class(job), self._tiers.get(job.ref, 0))
+
     @staticmethod
     def _class(job: Job) -> tuple[int, bool]:
         return (-job.level, not job.guaranteed)
@@ -82,7 +94,7 @@
         )
         started, looked = 0, 0
         for beyond in (False, True):  # first within the jobs' desires; what is then left over, to any
-            for _, members in groupby(order, key=self._class):
+            for _, members in groupby(order, key=self._group):
                 jobs = [job for job in members if not job.spec.gang and job.waiting_bits]
                 if over():
                     self.cut_short += 1
@@ -234,7 +246,7 @@
             return False
         correction = self.part.estimates.correction(job.spec.job_class)
         wait = now - job.since
-        options: list[tuple[int, float, Machine]] = []
+        options: list[tuple[int, float, float, Machine]] = []
         blocked_by_rung = False
         for machine in self._candidates(job, now):
             if not machine.free.holds(job.need) or machine.held_for not in (None, job.ref):
@@ -245,7 +257,9 @@
             if rung > ladder.allowed(job, wait, fetch, self._images, correction, self._settings, within):
                 blocked_by_rung = True
                 continue
-            options.append((rung, machine.free.cpus, machine))
+            # Where it must be fetched, on the machine with the fewest images: the others are worth more to others.
+            spoilt = 0.0 if rung is ladder.Rung.CACHED else float(len(machine.images))
+            options.append((rung, spoilt, machine.free.cpus, machine))
         chosen = self._choose(job, tasks, options)
         if chosen is None:
             if not blocked_by_rung:
@@ -337,14 +351,14 @@
             and allows(spec, machine.kind.name, machine.zone, machine.spot)
         ]
 
-    def _choose(self, job: Job, tasks: int, options: list[tuple[int, float, Machine]]) -> list[Machine] | None:
+    def _choose(self, job: Job, tasks: int, options: list[tuple[int, float, float, Machine]]) -> list[Machine] | None:
         """Machines for all tasks of a gang: nearest image first, then the tightest fit."""
-        options = sorted(options, key=lambda one: (one[0], one[1], one[2].name))
+        options = sorted(options, key=lambda one: (*one[:3], one[3].name))
         if not job.spec.together:
-            return self._take(job, tasks, [machine for _, _, machine in options])
-        zones = dict.fromkeys(machine.zone for _, _, machine in options)
+            return self._take(job, tasks, [one[3] for one in options])
+        zones = dict.fromkeys(one[3].zone for one in options)
         for zone in zones:
-            chosen = self._take(job, tasks, [machine for _, _, machine in options if machine.zone == zone])
+            chosen = self._take(job, tasks, [one[3] for one in options if one[3].zone == zone])
             if chosen is not None:
                 return chosen
         return None
