Empty machines are lent to a part that is too small for a gang; idle machines go back sooner when nothing is left to do

Cause: a gang that no part could hold would have waited for ever; the real-process check found machines rented with nothing to do for a minute. Tests: a gang larger than any part, also with lost answers and a crash.

--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -138,6 +138,7 @@
         )
         owner.delete = self.fleet.delete
         owner.ask = self._ask_share
+        owner.borrow = self._ask_machines
         self.owners[part] = owner
         owner.start()
 
@@ -332,6 +333,8 @@
                 continue
             now = self._loop.now()
             idle = self.settings.operator.fleet.idle
+            if not self.book.active:
+                idle /= 2  # there is nothing that a warm cache could be of use to
             for owner in list(self.owners.values()):
                 if not owner.ready or not owner.part.settled or not self.claims.acting(owner.number):
                     continue
@@ -374,6 +377,17 @@
                 self._group.spawn(owner.on_steal(message), "steal")
         elif isinstance(message, mesh_wire.Lack):
             self._give_share(message)
+        elif isinstance(message, mesh_wire.Borrow):
+            self._lend(message)
+
+    def _ask_machines(self, message: mesh_wire.Borrow) -> None:
+        self.mesh.broadcast(message)
+        self._lend(message)
+
+    def _lend(self, message: mesh_wire.Borrow) -> None:
+        for owner in self.owners.values():
+            if owner.ready and owner.number != message.part:
+                self._group.spawn(owner.lend(message), "lend")
 
     def _ask_share(self, message: mesh_wire.Lack) -> None:
         self.mesh.broadcast(message)
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -12,7 +12,7 @@
 from badgerroute.protocol.common import Malformed, encode
 from badgerroute.protocol.users import Submission
 from badgerroute.protocol.workers import Command, DirectCommands, Report, ReportAnswer, parse_report
-from badgerroute.scheduling.model import ZERO, Job, Machine, Phase, Room, allows
+from badgerroute.scheduling.model import ZERO, Job, Machine, Phase, Room, allows, need_of
 from badgerroute.scheduling.objectives import Objectives
 from badgerroute.scheduling.part import Part
 from badgerroute.scheduling.planner import Planner
@@ -147,6 +147,7 @@
         self.registrar = Registrar(loop, self.group, state, replica, push)
         self.progress: set[str] = set()
         self._passed_on: dict[str, timedelta] = {}
+        self._borrowing: tuple[str, timedelta] | None = None  # gang, and since when
         self._raising: Future | None = None
 
     def start(self) -> None:
@@ -267,7 +268,9 @@
             return
         kind = self._catalog.get(record.type)
         if known is None and kind is not None:
-            self.part.add_machine(name, record, kind, now)
+            machine = self.part.add_machine(name, record, kind, now)
+            if self._borrowing is not None and now - self._borrowing[1] < PASS_ON_PAUSE:
+                machine.held_for = self._borrowing[0]
 
     def job_changed(self, ref: str) -> None:
         record = self._book.active.get(ref)
@@ -421,6 +424,7 @@
         self.ask(message)
 
     ask: Callable[[mesh_wire.Lack], None] = staticmethod(lambda message: None)
+    borrow: Callable[[mesh_wire.Borrow], None] = staticmethod(lambda message: None)
 
     async def give_share(self, message: mesh_wire.Lack) -> None:
         """Another part lacks a share: give what we neither use nor can use soon."""
@@ -531,7 +535,10 @@
                 one for one in others if self._holds(job, one.soft.get(job.level, []))
             ]
             record = self._book.active.get(job.ref)
-            if not options or record is None:
+            if record is None:
+                continue
+            if not options:
+                self._borrow(job, now)
                 continue
             target = min(options, key=lambda one: (sum(want.gang for want in one.wants), one.part))
             self._passed_on = {ref: at for ref, at in self._passed_on.items() if now - at < PASS_ON_PAUSE}
@@ -541,6 +548,82 @@
             log.info("event=gang_passed_on job=%s from=%d to=%d", job.ref, self.number, target.part)
             await self._write_steal([(job.ref, moved)], target.part)
 
+    def _borrow(self, job: Job, now: timedelta) -> None:
+        """No part could hold the gang: gather empty machines here until it fits."""
+        here = 0
+        for machine, room in self.planner.room_without(job.level):
+            if allows(job.spec, machine.kind.name, machine.zone, machine.spot):
+                here += room.times(job.need)
+        here += sum(one.held_for == job.ref for one in self.part.machines.values())
+        if here < job.spec.tasks and self.part.fits_share(job, job.spec.tasks) >= job.spec.tasks:
+            self._borrowing = (job.ref, now)
+            self._passed_on[job.ref] = now
+            self.borrow(mesh_wire.Borrow(self.number, job.spec, job.spec.tasks - here))
+
+    async def lend(self, message: mesh_wire.Borrow) -> None:
+        """Give empty machines to a part that is too small for a gang, in one conditional write.
+
+        Only a machine with nothing on it and no start on its way is given, and from before the write on nothing
+        starts on it here.
+        """
+        if not self.part.settled or not self._claims.acting(self.number):
+            return
+        need = need_of(message.job)
+        given: list[Machine] = []
+        slots = 0
+        for machine in self.part.machines.values():
+            if slots >= message.count or len(given) >= self._state.limits.txn_ops:
+                break
+            fits = machine.usable and machine.empty and machine.held_for is None and machine.free.holds(need)
+            if fits and allows(message.job, machine.kind.name, machine.zone, machine.spot):
+                slots += machine.free.times(need)
+                given.append(machine)
+        if not given:
+            return
+        conditions = [self._claims.condition(self.number)]
+        puts = []
+        for machine in given:
+            machine.draining = True
+            key = MACHINES + machine.name
+            record = MachineRecord(message.part, machine.address, machine.kind.name, machine.zone, machine.spot)
+            conditions.append(when(key, self._replica.mark(key)))
+            puts.append(put(key, records.write(record)))
+        try:
+            at = await self._state.transact(conditions, puts, Urgency.PROGRESS)
+        except (Conflicted, Unavailable, LeaseGone) as error:
+            log.debug("event=lend_failed part=%d error=%s", self.number, error)
+            for machine in given:
+                machine.draining = False
+        except Unknown:
+            # It may yet be applied, so these machines are of no use here until a write of ours rules that out.
+            for machine in given:
+                self.group.spawn(self._settle_machine(machine), "settle-lend")
+        else:
+            log.info(
+                "event=machines_lent part=%d to=%d machines=%s",
+                self.number,
+                message.part,
+                ",".join(machine.name for machine in given),
+            )
+            for change in puts:
+                self._replica.learn(change.key, bytes(change.value), at)
+                self._push(change.key, bytes(change.value), at)
+
+    async def _settle_machine(self, machine: Machine) -> None:
+        key = MACHINES + machine.name
+        while self.part.machines.get(machine.name) is machine:
+            try:
+                found = await self._state.get(key, Urgency.COMPLETE)
+                if found is None or records.read(bytes(found.value), MachineRecord).part != self.number:
+                    return  # the watch brings it
+                conditions = [self._claims.condition(self.number), when(key, found.revision)]
+                at = await self._state.transact(conditions, [put(key, found.value)], Urgency.COMPLETE)
+                self._replica.learn(key, bytes(found.value), at)
+                machine.draining = False
+                return
+            except (Unavailable, Unknown, Conflicted, LeaseGone):
+                await self._loop.sleep(timedelta(milliseconds=500))
+
     @staticmethod
     def _holds(job: Job, bins: list[mesh_wire.Bin]) -> bool:
         slots: dict[str, int] = {}
--- a/badgerroute/protocol/mesh.py
+++ b/badgerroute/protocol/mesh.py
@@ -3,6 +3,8 @@
 import msgspec
 from msgspec import Struct
 
+from badgerroute.protocol.users import Submission
+
 
 class Bin(Struct, array_like=True):
     """Machines with the same free room."""
@@ -85,18 +87,11 @@
 
 
 class Borrow(Struct, tag="borrow"):
-    """A part too small for a gang asks another part for free machines."""
+    """A part too small for a gang asks the others for empty machines."""
 
     part: int
-    lender: int
-    ref: str
-    cpus: float
-    accelerators: float
-    memory_gb: float
+    job: Submission
     count: int
-    types: list[str] | None
-    zone: str | None
-    spot: bool
 
 
 Message = Gossip | Push | Steal | Lack | Borrow
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -337,6 +337,17 @@
     assert rule in caught
 
 
+@pytest.mark.parametrize("fault", [nothing, lost_answers, crash_one], ids=["quiet", "lost_answers", "crash_one"])
+def test_gang_too_large_for_any_part(fault: Callable[[Day], None]) -> None:
+    """Machines are lent until one part holds all of it; the workers' higher tokens raise that part's term."""
+    day = Day(seed=3)
+    day.run(4)
+    day.submit(job("run-wide", gait="group", heads=5, cpus=7.0, trek_s=4.0))
+    fault(day)
+    assert day.finish(150) == []
+    assert day.rules.broken == []
+
+
 def test_share_moves_only_while_unused(monkeypatch: pytest.MonkeyPatch) -> None:
     """A share that is being given away counts as given before the write is known to be applied."""
     seen: list[tuple[float, float]] = []
