--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -137,7 +137,7 @@
         self.group = Group(loop, f"{parent.name}/part-{number}")
         self.objectives = Objectives(settings.params.objectives)
         self.part = Part(number, claim.term, lambda team: shares.of(number, team), loop.now())
-        self.planner = Planner(self.part, settings.operator.scheduling, self.objectives)
+        self.planner = Planner(self.part, settings.operator.scheduling, self.objectives, settings.params.workers.report)
         self.grace = claim.grace
         self.ready = False
         self.delete: Callable[[list[str]], None] = lambda names: None
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -109,7 +109,9 @@
                 return None
             spec = record.job
             need = Room(spec.cpus, spec.accelerators, spec.memory_gb)
-            job = Job(ref, spec, accepted, owned, record.done(), window, need, now)
+            # A gang that comes from another part has waited there already.
+            since = min(now, accepted) if spec.gang else now
+            job = Job(ref, spec, accepted, owned, record.done(), window, need, since)
             self.jobs[ref] = job
             return job
         fresh = owned & ~job.owned
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -18,7 +18,8 @@
 ORDER_KEPT = timedelta(milliseconds=250)
 HELD = timedelta(seconds=6)  # how long room that was made for an array waits for its tasks
 BESIDE = timedelta(seconds=6)  # how long a small task passes by an empty machine for one in use
-PATIENCE = 3  # room is made by force once a third of the expected time to start has passed
+LEAD_REPORTS = 3  # reports that pass between the decision to make room and the start in it
+PATIENCE = 3
 
 
 @dataclass(slots=True)
@@ -37,8 +38,11 @@
 
 
 class Planner:
-    def __init__(self, part: Part, settings: Scheduling, objectives: Objectives) -> None:
+    def __init__(
+        self, part: Part, settings: Scheduling, objectives: Objectives, report: timedelta = timedelta(seconds=1)
+    ) -> None:
         self.part = part
+        self._report = report
         self._settings, self._objectives = settings, objectives
         self._order: list[Job] = []
         self._tiers: dict[str, int] = {}
@@ -322,6 +326,7 @@
             and not job.placed
             and job.waiting_bits
             and now - job.since >= self._patience(job)
+            and self.part.fits_share(job, job.spec.tasks) >= job.spec.tasks  # else no other part could place it either
             and not any(one.held_for == job.ref for one in self.part.machines.values())
         ]
 
@@ -422,7 +427,13 @@
         return None
 
     def _patience(self, job: Job) -> timedelta:
-        return self._objectives.start_within(job) / PATIENCE
+        """How long a job waits before room is made by force: a third of what can be spared.
+
+        What can't: stopping and starting each take until the next report, and then the image is fetched.
+        """
+        fetch = min((ladder.fetch_time(job, one) for one in self.part.machines.values()), default=ZERO)
+        spare = self._objectives.start_within(job) - LEAD_REPORTS * self._report - fetch
+        return max(ZERO, spare / PATIENCE)
 
     def _make_room_for_gang(self, job: Job, tasks: int, now: timedelta) -> None:
         if now - job.since < self._patience(job):
