--- a/badgerroute/settings.py
+++ b/badgerroute/settings.py
@@ -143,7 +143,7 @@
     """`return_idle`: null decides by the objectives (see `Settings.return_idle`)."""
 
     return_idle: bool | None = None
-    idle_s: Annotated[float, Meta(ge=0, le=86400)] = 60.0
+    idle_s: Annotated[float, Meta(ge=0, le=86400)] = 40.0
     most_machines: Annotated[int, Meta(ge=1)] = 5000
 
     @property
