--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -18,6 +18,7 @@
 ORDER_KEPT = timedelta(milliseconds=250)
 HELD = timedelta(seconds=6)  # how long room that was made for an array waits for its tasks
 BESIDE = timedelta(seconds=6)  # how long a small task passes by an empty machine for one in use
+FETCH_SPREAD = 1.3  # fetches take up to a third longer than the machine type's rate says
 LEAD_REPORTS = 3  # reports that pass between the decision to make room and the start in it
 PATIENCE = 3
 
@@ -178,7 +179,7 @@
             wait = job.waited(lowest(bits), now)
             correction = self.part.estimates.correction(spec.job_class)
             fetch = ladder.fetch_time(job, machine)
-            within = self._objectives.start_within(job)
+            within = self._latest_choice(job, fetch)
             if ladder.allowed(job, wait, fetch, self._images, correction, self._settings, within) < rung:
                 return False
         if job.desire < 1.0:
@@ -257,7 +258,7 @@
                 continue
             rung = ladder.rung_of(job, machine, self._images)
             fetch = ladder.fetch_time(job, machine)
-            within = self._objectives.start_within(job)
+            within = self._latest_choice(job, fetch)
             if rung > ladder.allowed(job, wait, fetch, self._images, correction, self._settings, within):
                 blocked_by_rung = True
                 continue
@@ -430,6 +431,10 @@
                 return loss, victims
         return None
 
+    def _latest_choice(self, job: Job, fetch: timedelta) -> timedelta:
+        """When a task must stop waiting for its image so that a fetch, which may be slow, is still in time."""
+        return self._objectives.start_within(job) - 2 * self._report - fetch * (FETCH_SPREAD - 1)
+
     def _patience(self, job: Job) -> timedelta:
         """How long a job waits before room is made by force: a third of what can be spared.
 
