--- a/badgerroute/transport/http.py
+++ b/badgerroute/transport/http.py
@@ -6,7 +6,6 @@
 from datetime import timedelta
 from urllib.parse import unquote_plus
 
-from badgerroute.transport.clock import ZERO
 from badgerroute.transport.loop import Cancelled, Group, Loop, TimeLimit
 from badgerroute.transport.net import Listener, Network, Stream
 
@@ -22,25 +21,18 @@
     404: "Not Found",
     405: "Method Not Allowed",
     409: "Conflict",
-    413: "Content Too Large",
     421: "Misdirected Request",
     422: "Unprocessable Content",
     429: "Too Many Requests",
     500: "Internal Server Error",
-    501: "Not Implemented",
     503: "Service Unavailable",
-    505: "Version Not Supported",
 }
 METHODS = frozenset({"GET", "POST", "PUT", "DELETE", "HEAD", "OPTIONS", "PATCH", "TRACE", "CONNECT"})
 TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 
 
 class BadMessage(Exception):
-    """Bytes that are no acceptable HTTP message; `status` is what to answer before closing."""
-
-    def __init__(self, why: str, status: int = 400) -> None:
-        super().__init__(why)
-        self.status = status
+    """Bytes that are no acceptable HTTP message: answered 400, and the connection is closed."""
 
 
 @dataclass(slots=True)
@@ -86,7 +78,7 @@
 
 def _length(headers: dict[bytes, bytes], most: int) -> int:
     if b"transfer-encoding" in headers:
-        raise BadMessage("transfer codings are not accepted", 501)
+        raise BadMessage("transfer codings are not accepted")
     raw = headers.get(b"content-length", b"0")
     if not raw.isdigit() or len(raw) > 12:
         raise BadMessage("bad content-length")
@@ -147,7 +139,7 @@
         if len(words) != 3 or not words[2].startswith(b"HTTP/"):
             raise BadMessage("bad request line")
         if words[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
-            raise BadMessage("unknown version", 505)
+            raise BadMessage("unknown version")
         try:
             method, target = words[0].decode("ascii"), words[1].decode("ascii")
         except UnicodeDecodeError:
@@ -267,7 +259,7 @@
                     return
         except BadMessage as error:
             log.info("event=bad_request error=%s", error)
-            await self._refuse(stream, error)
+            await self._refuse(stream)
         except (OSError, TimeLimit) as error:
             log.debug("event=connection_ended error=%s", error)
         finally:
@@ -287,11 +279,11 @@
         with self._loop.limit(self._slow):  # half a request must not hold a socket for ever
             return await reader.request()
 
-    async def _refuse(self, stream: Stream, error: BadMessage) -> None:
+    async def _refuse(self, stream: Stream) -> None:
         body = b'{"error":"malformed request"}'
         try:
             with self._loop.limit(timedelta(seconds=1)):
-                await stream.write(encode_response(Response(error.status, body), keep=False))
+                await stream.write(encode_response(Response(400, body), keep=False))
         except (OSError, TimeLimit):
             log.debug("event=refusal_unsent")
 
@@ -366,8 +358,3 @@
         for stream, _, _ in self._idle:
             stream.close()
         self._idle.clear()
-
-
-def retry_after(delta: timedelta) -> dict[str, str]:
-    """The header that tells a client when to come back, in whole seconds, at least one."""
-    return {"Retry-After": str(max(1, -(-delta // timedelta(seconds=1)) if delta > ZERO else 1))}
