--- a/badgerroute/coordination/claims.py
+++ b/badgerroute/coordination/claims.py
@@ -61,10 +61,14 @@
         """What every write for a part is conditional on."""
         return when(self.key(part), self.parts[part].term)
 
+    @property
+    def proved(self) -> timedelta:
+        """Until when nobody else can have held what we hold."""
+        return min(self._proved, self._replica.proved)
+
     def fresh(self) -> bool:
         """Whether what we know of the state service is recent enough to act on: docs/safety.md, G."""
-        proved = min(self._proved, self._replica.proved)
-        return self._loop.now() - proved < self._settings.grace
+        return self._loop.now() - self.proved < self._settings.grace
 
     def acting(self, part: int) -> bool:
         return part in self.parts and self.fresh()
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -370,7 +370,7 @@
             await self._seek_shares()
 
     def _expire(self, now: timedelta) -> None:
-        lost = self.part.expire(now, self._settings.machine_lease, self.grace)
+        lost = self.part.expire(now, self._claims.proved, self._settings.machine_lease, self.grace)
         for machine in lost:
             machine.lost_at = now
         if lost:
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -411,15 +411,21 @@
 
     # -- time
 
-    def expire(self, now: timedelta, lease: timedelta, grace: timedelta) -> list[Machine]:
-        """Machines whose lease is certainly over: their tasks are dead and wait again."""
+    def expire(self, now: timedelta, proved: timedelta, lease: timedelta, grace: timedelta) -> list[Machine]:
+        """Machines whose lease is certainly over: their tasks are dead and wait again.
+
+        `proved` is when we last knew the claim to be ours, not the time now. Our own silence towards a machine
+        ends its lease only as long as nobody else may answer it, and from `proved` on a new owner may. An owner
+        that was cut off, but still within G, once took the machines that a new owner had taken over for dead, and
+        started their tasks again beside it.
+        """
         lost = []
         for machine in self.machines.values():
             if machine.fenced and machine.answered is not None:
                 over = machine.answered + lease
             else:  # a former owner may have answered it until its own grace ran out
                 over = max(self.claimed_at + grace, machine.answered or ZERO, machine.joined) + lease
-            if now > over and (machine.placements or not machine.fenced or machine.alive):
+            if proved > over and (machine.placements or not machine.fenced or machine.alive):
                 self.lose_tasks(machine, now)
                 machine.strays.clear()
                 machine.alive = False
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -259,7 +259,7 @@
     machine = target.machines["host-0"]
     machine.answered = None if answered is None else answered * S
     machine.fenced = fenced
-    assert bool(target.expire(now * S, 11 * S, grace * S)) is lost
+    assert bool(target.expire(now * S + S, now * S, 11 * S, grace * S)) is lost
 
 
 @pytest.mark.parametrize(
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -119,6 +119,23 @@
     return fault
 
 
+def zone_cut(mode: str, at_home: int) -> Callable[[Day], None]:
+    """A zone is cut off from everything, with so many controllers in it, which go on inside it for G."""
+
+    def fault(day: Day) -> None:
+        hosts = day.random.sample(HOSTS, at_home)
+        inside = hosts + [name for name, worker in day.site.workers.items() if worker.zone == "a"]
+        outside = [one for one in (*HOSTS, *day.site.workers, "cloud") if one not in inside]
+        pairs = [(one, other) for one in inside for other in outside] + [(host, f"state-{host}") for host in hosts]
+        for one, other in pairs:
+            day.world.cut(one, other, mode)
+        day.run(40)
+        for one, other in pairs:
+            day.world.heal(one, other)
+
+    return fault
+
+
 def takeover_with_hung_machine(day: Day) -> None:
     """A machine hangs, its owner dies, and the machine goes on within its lease."""
     worker = day.random.choice(list(day.site.workers.values()))
@@ -211,6 +228,10 @@
     "siblings_hold": cut_from_siblings("hold"),
     "all_reset": cut_from_all("reset"),
     "all_hold": cut_from_all("hold"),
+    "zone_reset": zone_cut("reset", 1),
+    "zone_hold": zone_cut("hold", 1),
+    "zone_with_most_reset": zone_cut("reset", 2),
+    "zone_with_most_hold": zone_cut("hold", 2),
     "takeover_hung": takeover_with_hung_machine,
     "hung_machines": hung_machines,
     "machine_reset": machine_cut("reset"),
@@ -276,6 +297,25 @@
     assert day.rules.broken == []
 
 
+@pytest.mark.parametrize("mode", ["reset", "hold"])
+@pytest.mark.parametrize("seed", range(3))
+def test_cut_off_owner_takes_no_machine_for_dead(seed: int, mode: str) -> None:
+    """Two controllers are cut off with a zone and act on for G; the third answers the other zone's machines.
+
+    Their silence towards the two says nothing: their tasks run on, and must not be started inside the zone.
+    """
+    day = Day(seed=seed)
+    day.run(4)
+    day.submit(job("run-long", heads=20, trek_s=60.0))
+    day.run(4)
+    day.site.cloud_down = True  # else the third owner soon has the cut-off machines deleted
+    zone_cut(mode, 2)(day)
+    day.site.cloud_down = False
+    assert day.rules.broken == []
+    assert day.finish() == []
+    assert day.rules.broken == []
+
+
 # The checker is worth something only if it catches owners that cheat.
 
 
