Cost per report follows what changed, not how much exists

Cause, by a profile in virtual time at 150 machines and 60 jobs: every report tried to make room for every waiting gang by a look at each task of each machine (27 of 50 s), and each gossip walked all tasks three times. Now room is made in rounds only, held room is kept per machine and level, a task list that says what the one before said is not read again, waiting sets and summaries are kept, HTTP headers are checked by one expression.

--- a/badgerroute/coordination/claims.py
+++ b/badgerroute/coordination/claims.py
@@ -42,6 +42,7 @@
         self._settings, self._loop, self._state, self._replica = settings, loop, state, replica
         self._won, self._lost = won, lost
         self._me = settings.platform.host_name
+        self._grace = settings.grace  # asked for with every report
         self.lease: int | None = None
         self.parts: dict[int, Claim] = {}
         self.fleet: int | None = None
@@ -68,7 +69,7 @@
 
     def fresh(self) -> bool:
         """Whether what we know of the state service is recent enough to act on: docs/safety.md, G."""
-        return self._loop.now() - self.proved < self._settings.grace
+        return self._loop.now() - self.proved < self._grace
 
     def acting(self, part: int) -> bool:
         return part in self.parts and self.fresh()
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from badgerroute.coordination.claims import Claim, Claims
+from badgerroute.coordination.fleet import rents_ahead
 from badgerroute.coordination.jobs import JobBook, Progress
 from badgerroute.coordination.shares import Shares
 from badgerroute.protocol import mesh as mesh_wire
@@ -41,6 +42,7 @@
 GIVE_UP = timedelta(seconds=5)  # a member silent for so long after a takeover is deleted at the cloud
 LOST_PATIENCE = timedelta(seconds=4)
 ROUND = timedelta(milliseconds=250)
+SUMMARY_KEPT = timedelta(milliseconds=400)
 REGISTER_LIMIT = timedelta(seconds=1)
 MOST_RANGES = 48
 PASS_ON_PAUSE = timedelta(seconds=8)  # a gang that was passed on is left where it is for so long
@@ -147,6 +149,8 @@
         self.registrar = Registrar(loop, self.group, state, replica, push)
         self.progress: set[str] = set()
         self._passed_on: dict[str, timedelta] = {}
+        self._summary: tuple[timedelta, mesh_wire.PartSummary] | None = None
+        self._rents_ahead = lambda: rents_ahead(settings, catalog)
         self._borrowing: tuple[str, timedelta] | None = None  # gang, and since when
         self._raising: Future | None = None
 
@@ -303,7 +307,7 @@
                 return self._loop.now() > deadline
 
             # Gangs first, and now: placed in the next round of their own, they would wait for one more report.
-            self.planner.gangs(now, over)
+            self.planner.gangs_on(machine, now, over)
             self.planner.fill(machine, now, over)
         commands = self.part.commands(machine, now, starts=fresh) if fresh else []
         machine.answered = now
@@ -408,7 +412,7 @@
         machines = {
             placement.machine
             for job in self.part.jobs.values()
-            if job.spec.gang
+            if job.gang
             for placement in job.placed.values()
             if placement.stopping and placement.halted_at is None and placement.phase is not Phase.SENT
         }
@@ -485,8 +489,14 @@
         return [mesh_wire.Bin(*key, count) for key, count in counts.items()]
 
     def summary(self) -> mesh_wire.PartSummary:
-        bins, images = self.idle_bins()
+        """What others need to know. Made anew a few times a second at most: it looks at everything there is."""
         now = self._loop.now()
+        if self._summary is None or now - self._summary[0] >= SUMMARY_KEPT:
+            self._summary = (now, self._summarize(now))
+        return self._summary[1]
+
+    def _summarize(self, now: timedelta) -> mesh_wire.PartSummary:
+        bins, images = self.idle_bins()
         wants = [
             mesh_wire.Want(
                 one.ref,
@@ -522,7 +532,7 @@
             images=images,
             soft=soft,
             wants=wants,
-            freeing=self.planner.freeing(now),
+            freeing=0.0 if self._rents_ahead() else self.planner.freeing(now),
             running=running,
             used=used,
         )
--- a/badgerroute/protocol/workers.py
+++ b/badgerroute/protocol/workers.py
@@ -9,10 +9,11 @@
 
 Count = Annotated[int, Meta(ge=0)]
 Text = Annotated[str, Meta(min_length=1, max_length=120)]
+TaskId = Annotated[str, Meta(max_length=120, pattern=r"^.+/[0-9]{1,6}\Z")]
 
 
 class TaskReport(Struct):
-    task: Text = field(name="head")
+    task: TaskId = field(name="head")
     attempt: Count = field(name="try")
     state: Literal["fetching", "waiting", "running", "flushing", "exited"] = field(name="condition")
     cause: str | None = None
@@ -48,9 +49,6 @@
     for task in report.tasks:
         if task.attempt >= NO_LIMIT:
             raise Malformed("try: out of range")
-        ref, slash, index = task.task.rpartition("/")
-        if not slash or not ref or not (index.isascii() and index.isdigit()) or len(index) > 6:
-            raise Malformed("head: not a task id")
     return report
 
 
--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -7,6 +7,7 @@
 
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.users import Submission
+from badgerroute.protocol.workers import TaskReport
 from badgerroute.storage.records import lowest
 
 EPSILON = 1e-6
@@ -114,6 +115,8 @@
     spot: bool
     joined: timedelta
     free: Room
+    held: dict[int, Room] = field(default_factory=dict)  # level -> what its tasks take of this machine
+    leaving: int = 0  # tasks that were told, or will be, to stop
     session: int = 0
     seq: int = -1
     fenced: bool = False  # it has seen our term, and we have seen its task list since
@@ -126,6 +129,7 @@
     notice: timedelta | None = None  # steady time at which the cloud takes it
     draining: bool = False
     placements: dict[tuple[str, int], Placement] = field(default_factory=dict)
+    listed: list[TaskReport] | None = None  # the last task list, if all that it says has been taken in
     exited: set[tuple[str, int, int]] = field(default_factory=set)  # reported as exited, not cleared yet
     strays: set[tuple[str, int, int]] = field(default_factory=set)  # on it, but none of ours: to be halted
     images: dict[str, float] = field(default_factory=dict)  # image -> GB, least recently used first
@@ -145,6 +149,8 @@
 
     def touch_image(self, image: str, size_gb: float) -> None:
         """Note an image as most recently used, and drop what the cache can no longer hold."""
+        if self.images and next(reversed(self.images)) == image:
+            return
         self.images.pop(image, None)
         self.images[image] = size_gb
         total = sum(self.images.values())
@@ -182,20 +188,30 @@
     failures: int = 0
     failed_on: set[str] = field(default_factory=set)
     blocked_until: timedelta = ZERO
+    level: int = 0  # of its priority; both are asked for at every turn, so they are kept ready
+    gang: bool = False
+    _waiting: tuple[tuple[int, int, int, int], int] = ((0, 0, 0, 0), 0)
+
+    def __post_init__(self) -> None:
+        self.level = self.spec.priority.level
+        self.gang = self.spec.gang
 
     @property
     def waiting_bits(self) -> int:
+        """The tasks that could be started, as a bit set. Asked for far more often than it changes."""
+        made_of = (self.owned, self.done, self.done_here, self.placed_bits)
+        if self._waiting[0] != made_of:
+            self._waiting = (made_of, self._find_waiting())
+        return self._waiting[1]
+
+    def _find_waiting(self) -> int:
         left = self.owned & ~(self.done | self.done_here | self.placed_bits)
-        if left and not self.spec.gang:
+        if left and not self.gang:
             finished = self.done | self.done_here
             base = lowest(~finished & (finished + 1))
             left &= (1 << (base + self.window)) - 1
         return left
 
-    @property
-    def level(self) -> int:
-        return self.spec.priority.level
-
     @property
     def finished(self) -> bool:
         return (self.done | self.done_here).bit_count() >= self.spec.tasks
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -78,14 +78,20 @@
         self.estimates = Estimates()
         self.settled = False  # every member fenced or provably rid of its tasks: until then nothing is placed
         self._counter = 0
+        self._fastest = 1e-6  # GB a second, of the machines ever here
 
     # -- membership
 
     def add_machine(self, name: str, record: MachineRecord, kind: MachineType, now: timedelta) -> Machine:
         machine = Machine(name, record.address, kind, record.zone, record.spot, now, capacity_of(kind))
         self.machines[name] = machine
+        self._fastest = max(self._fastest, kind.fetch_gb_per_s)
         return machine
 
+    def least_fetch(self, job: Job) -> timedelta:
+        """How long the job's image takes to fetch where that goes fastest."""
+        return timedelta(seconds=job.spec.image_gb / self._fastest) if self.machines else ZERO
+
     def remove_machine(self, name: str, now: timedelta) -> None:
         """The machine and everything on it are gone, provably."""
         machine = self.machines.pop(name, None)
@@ -95,6 +101,7 @@
     def lose_tasks(self, machine: Machine, now: timedelta) -> None:
         for placement in list(machine.placements.values()):
             self.release(placement, now)
+        machine.listed = None
         machine.exited.clear()
 
     # -- jobs
@@ -135,7 +142,7 @@
             if placement.phase is Phase.RESERVED:
                 self._forget(placement)
             else:
-                placement.grace = ZERO
+                self.stop(placement, ZERO)
         if not job.placed:
             del self.jobs[ref]
 
@@ -169,6 +176,7 @@
         placement = Placement(job, index, attempt, machine, phase, now)
         machine.placements[placement.key] = placement
         machine.free.take(job.need)
+        machine.held.setdefault(job.level, Room()).add(job.need)
         machine.idle_since = None
         job.place(placement)
         used = self.usage[job.spec.team]
@@ -182,6 +190,8 @@
         if machine.placements.pop(placement.key, None) is None:
             return
         machine.free.add(job.need)
+        machine.held[job.level].take(job.need)
+        machine.leaving -= placement.stopping
         job.unplace(placement.index)
         used = self.usage[job.spec.team]
         used.tasks -= 1
@@ -192,6 +202,7 @@
             used.cpus = used.accelerators = 0.0  # no rounding errors left behind
         if not machine.placements:
             machine.free = capacity_of(machine.kind)
+            machine.held.clear()
         if not job.placed:
             job.gang_attempt = None
             if not job.owned:
@@ -215,6 +226,7 @@
         if placement.phase is Phase.RESERVED:
             self._forget(placement)
         elif placement.grace is None or grace < placement.grace:
+            placement.machine.leaving += not placement.stopping
             placement.grace = grace
 
     # -- messages from machines
@@ -242,7 +254,10 @@
             # Another owner's commands may still reach it: the list is true, but it is not the last word.
             machine.fenced = False
             return events
+        if machine.fenced and not machine.strays and machine.listed == report.tasks:
+            return events  # most reports say what the one before said
         machine.fenced = True
+        machine.listed = report.tasks
         machine.exited.clear()
         machine.strays.clear()
         present: list[tuple[str, int, TaskReport]] = []
@@ -261,6 +276,7 @@
             if key in seen or placement.phase is Phase.RESERVED:
                 continue
             if placement.phase is Phase.SENT and not self._settles(placement, report, checkin):
+                machine.listed = None
                 continue
             self.release(placement, now)
             events.freed = True
@@ -398,6 +414,7 @@
                 )
             elif starts and placement.phase is Phase.RESERVED:
                 placement.phase = Phase.SENT
+                machine.listed = None  # the next list matters even if it is the same
                 placement.sent = (machine.session, machine.seq)
                 placement.since = now
                 machine.touch_image(placement.job.spec.image, placement.job.spec.image_gb)
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -6,9 +6,10 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from itertools import groupby
+from math import inf
 
 from badgerroute.scheduling import af, ladder
-from badgerroute.scheduling.model import ZERO, Job, Machine, Phase, Placement, Room, allows
+from badgerroute.scheduling.model import EPSILON, ZERO, Job, Machine, Phase, Placement, Room, allows
 from badgerroute.scheduling.objectives import Objectives
 from badgerroute.scheduling.part import Part
 from badgerroute.settings import Scheduling
@@ -48,6 +49,7 @@
         self._order: list[Job] = []
         self._tiers: dict[str, int] = {}
         self._ordered_at = -timedelta(days=1)
+        self._least = Room()  # no array task that waits takes less than this
         self._images = ladder.Whereabouts([])
         self._gang_cursor = 0
         self._fill_cursor = 0
@@ -65,6 +67,10 @@
         self._tiers = {job.ref: self._objectives.missed(job, now, self._run_time(job)) for job in waiting}
         waiting.sort(key=lambda job: (self._group(job), job.accepted))
         self._order = waiting
+        arrays = [job.need for job in waiting if not job.gang]
+        self._least = Room(
+            min((one.cpus for one in arrays), default=inf), 0.0, min((one.memory_gb for one in arrays), default=inf)
+        )
 
     def _run_time(self, job: Job) -> timedelta:
         return ladder.run_time(job, self.part.estimates.correction(job.spec.job_class))
@@ -90,9 +96,9 @@
         part = self.part
         if not part.settled or not machine.usable or machine.avoid_until > now:
             return 0
-        if machine.free.cpus <= 1e-6 and machine.free.memory_gb <= 1e-6:
-            return 0
         self._refresh(now)
+        if not machine.free.holds(self._least):
+            return 0
         spared = self._room_beside(machine) if not machine.placements and machine.held_for is None else None
         order = (
             self._order[self._fill_cursor :] + self._order[: self._fill_cursor] if self._fill_cursor else self._order
@@ -100,7 +106,10 @@
         started, looked = 0, 0
         for beyond in (False, True):  # first within the jobs' desires; what is then left over, to any
             for _, members in groupby(order, key=self._group):
-                jobs = [job for job in members if not job.spec.gang and job.waiting_bits]
+                if not machine.free.holds(self._least):
+                    self._fill_cursor = 0
+                    return started
+                jobs = [job for job in members if not job.gang and job.waiting_bits]
                 if over():
                     self.cut_short += 1
                     self._fill_cursor = (self._fill_cursor + looked) % max(1, len(self._order))
@@ -226,12 +235,28 @@
 
     # -- gangs: in rounds of their own
 
+    def gangs_on(self, machine: Machine, now: timedelta, over: Callable[[], bool]) -> int:
+        """Place the gangs for which a machine that reports may have been missing. Room is made in rounds only."""
+        if not self.part.settled or not machine.usable:
+            return 0
+        self._refresh(now)
+        placed = 0
+        for job in self._order:
+            if job.gang and not job.placed and machine.free.holds(job.need) and job.waiting_bits:
+                if machine.held_for not in (None, job.ref):
+                    continue
+                if over():
+                    self.cut_short += 1
+                    return placed
+                placed += self._place_gang(job, now, make_room=False)
+        return placed
+
     def gangs(self, now: timedelta, over: Callable[[], bool]) -> int:
         """Place waiting gangs, each whole or not at all."""
         if not self.part.settled:
             return 0
         self._refresh(now)
-        waiting = [job for job in self._order if job.spec.gang and not job.placed and job.waiting_bits]
+        waiting = [job for job in self._order if job.gang and not job.placed and job.waiting_bits]
         if self._gang_cursor >= len(waiting):
             self._gang_cursor = 0
         placed = 0
@@ -240,11 +265,11 @@
                 self.cut_short += 1
                 self._gang_cursor = position
                 return placed
-            placed += self._place_gang(waiting[position], now)
+            placed += self._place_gang(waiting[position], now, make_room=True)
         self._gang_cursor = 0
         return placed
 
-    def _place_gang(self, job: Job, now: timedelta) -> bool:
+    def _place_gang(self, job: Job, now: timedelta, make_room: bool) -> bool:
         tasks = job.waiting_bits.bit_count()
         if self.part.fits_share(job, tasks) < tasks:
             self._lacks(job, tasks)
@@ -253,7 +278,7 @@
         wait = now - job.since
         options: list[tuple[int, float, float, float, Machine]] = []
         blocked_by_rung = False
-        for machine in self._candidates(job, now):
+        for machine in self._candidates(job, now, free=True):
             if not machine.free.holds(job.need) or machine.held_for not in (None, job.ref):
                 continue
             rung = ladder.rung_of(job, machine, self._images)
@@ -269,10 +294,10 @@
             options.append((rung, spoilt, machine.free.cpus, due, machine))
         chosen = self._choose(job, tasks, options)
         if chosen is None:
-            if not blocked_by_rung:
+            if make_room and not blocked_by_rung:
                 self._make_room_for_gang(job, tasks, now)
             return False
-        if self._better_beside_image(job, tasks, chosen, wait, now):
+        if self._better_beside_image(job, tasks, chosen, wait, now):  # it waits for room there
             return False
         attempt = self.part.next_attempt()
         log.debug(
@@ -298,39 +323,50 @@
         found = []
         for machine in self.part.machines.values():
             if machine.usable and machine.held_for is None:
-                room = machine.free.copy()
-                for placement in machine.placements.values():
-                    if placement.job.level < level:
-                        room.add(placement.job.need)
-                found.append((machine, room))
+                found.append((machine, self._room_below(machine, level)))
         return found
 
+    @staticmethod
+    def _room_below(machine: Machine, level: int) -> Room:
+        room = machine.free.copy()
+        for other, held in machine.held.items():
+            if other < level:
+                room.add(held)
+        return room
+
     def freeing(self, now: timedelta) -> float:
         """Processors of array tasks that should end before a new machine could boot and fetch an image."""
         total = 0.0
         for job in self.part.jobs.values():
-            if job.spec.gang or not job.placed:
+            if job.gang or not job.placed:
                 continue
             run = ladder.run_time(job, self.part.estimates.correction(job.spec.job_class))
+            before: dict[str, timedelta] = {}  # machine type -> what runs since then will have ended
             for placement in job.placed.values():
-                machine = placement.machine
-                ready = timedelta(seconds=machine.kind.boot_s) + ladder.fetch_time(job, machine)
-                ran = ZERO if placement.running_since is None else now - placement.running_since
-                if placement.running_since is not None and run - ran < ready:
+                since = placement.running_since
+                if since is None:
+                    continue
+                kind = placement.machine.kind
+                latest = before.get(kind.name)
+                if latest is None:
+                    ready = timedelta(seconds=kind.boot_s) + ladder.fetch_time(job, placement.machine)
+                    latest = before[kind.name] = now + ready - run
+                if since < latest:
                     total += job.need.cpus
         return total
 
     def stuck_gangs(self, now: timedelta) -> list[Job]:
         """Gangs that have waited long and for which no room could be made in this part."""
+        holders = {one.held_for for one in self.part.machines.values()}
         return [
             job
             for job in self._order
-            if job.spec.gang
+            if job.gang
             and not job.placed
+            and job.ref not in holders
             and job.waiting_bits
             and now - job.since >= self._patience(job)
             and self.part.fits_share(job, job.spec.tasks) >= job.spec.tasks  # else no other part could place it either
-            and not any(one.held_for == job.ref for one in self.part.machines.values())
         ]
 
     def _better_beside_image(
@@ -348,12 +384,14 @@
                     options.append((found[0], machine.name, machine, found[1]))
         return self._clear(job, tasks, options)
 
-    def _candidates(self, job: Job, now: timedelta) -> list[Machine]:
-        spec = job.spec
+    def _candidates(self, job: Job, now: timedelta, free: bool = False) -> list[Machine]:
+        """Machines that may run the job; `free`: only those with room for one of its tasks."""
+        spec, cpus = job.spec, job.need.cpus - EPSILON if free else -1.0
         return [
             machine
             for machine in self.part.machines.values()
-            if machine.usable
+            if machine.free.cpus >= cpus
+            and machine.usable
             and machine.avoid_until <= now
             and machine.name not in job.failed_on
             and allows(spec, machine.kind.name, machine.zone, machine.spot)
@@ -412,6 +450,9 @@
 
     def _clear_out(self, machine: Machine, job: Job, now: timedelta) -> tuple[float, list[Placement]] | None:
         """The cheapest set of tasks to stop so that one task of the job fits, and what is lost with them."""
+        # Most machines hold too little that may be stopped: that is seen without a look at each task.
+        if not machine.leaving and not self._room_below(machine, job.level + job.guaranteed).holds(job.need):
+            return None
         room = machine.free.copy()
         victims: list[Placement] = []
         loss = 0.0
@@ -440,8 +481,7 @@
 
         What can't: stopping and starting each take until the next report, and then the image is fetched.
         """
-        fetch = min((ladder.fetch_time(job, one) for one in self.part.machines.values()), default=ZERO)
-        spare = self._objectives.start_within(job) - LEAD_REPORTS * self._report - fetch
+        spare = self._objectives.start_within(job) - LEAD_REPORTS * self._report - self.part.least_fetch(job)
         return max(ZERO, spare / PATIENCE)
 
     def _make_room_for_gang(self, job: Job, tasks: int, now: timedelta) -> None:
@@ -487,22 +527,20 @@
         if not self.part.settled:
             return
         self._refresh(now)
+        coming = sum(machine.leaving for machine in self.part.machines.values())  # room on its way already
         for job in self._order:
-            if job.spec.gang or now - job.since < self._patience(job):
+            if job.gang or now - job.since < self._patience(job):
                 continue
             bits = job.waiting_bits
             if not bits or now - min(job.requeued.get(lowest(bits), job.since), now) < self._patience(job):
                 continue
             wanted = min(bits.bit_count(), self.part.fits_share(job, most), most)
-            coming = sum(
-                placement.stopping
-                for machine in self.part.machines.values()
-                for placement in machine.placements.values()
-            )  # room on its way already
             wanted -= coming
-            wanted -= sum(one.free.times(job.need) for one in self._candidates(job, now))
+            wanted -= sum(one.free.times(job.need) for one in self._candidates(job, now, free=True))
             if wanted > 0:
-                most -= self._stop_for_array(job, wanted, now)
+                stopped = self._stop_for_array(job, wanted, now)
+                most -= stopped
+                coming += stopped
             if most <= 0:
                 return
 
--- a/badgerroute/transport/http.py
+++ b/badgerroute/transport/http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1: a strict parser, a server with limits on everything, and a client that keeps its connections."""
 
 import logging
+import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -27,8 +28,9 @@
     500: "Internal Server Error",
     503: "Service Unavailable",
 }
-METHODS = frozenset({"GET", "POST", "PUT", "DELETE", "HEAD", "OPTIONS", "PATCH", "TRACE", "CONNECT"})
-TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
+METHODS = frozenset({b"GET", b"POST", b"PUT", b"DELETE", b"HEAD", b"OPTIONS", b"PATCH", b"TRACE", b"CONNECT"})
+HEADER = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\x00-\x08\x0a-\x1f]*?)[ \t]*").fullmatch
+TARGET = re.compile(rb"/[\x21-\x7e]*").fullmatch
 
 
 class BadMessage(Exception):
@@ -63,12 +65,10 @@
 def _headers(lines: list[bytes]) -> dict[bytes, bytes]:
     found: dict[bytes, bytes] = {}
     for line in lines:
-        name, colon, value = line.partition(b":")
-        if not colon or not name or not TOKEN.issuperset(name):
+        matched = HEADER(line)
+        if matched is None:
             raise BadMessage("bad header line")
-        value = value.strip(b" \t")
-        if any(byte < 32 and byte != 9 for byte in value):
-            raise BadMessage("control character in a header")
+        name, value = matched.groups()
         name = name.lower()
         if name in found and name in (b"content-length", b"transfer-encoding", b"host"):
             raise BadMessage("repeated header")
@@ -140,12 +140,9 @@
             raise BadMessage("bad request line")
         if words[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
             raise BadMessage("unknown version")
-        try:
-            method, target = words[0].decode("ascii"), words[1].decode("ascii")
-        except UnicodeDecodeError:
-            raise BadMessage("bad request line") from None
-        if method not in METHODS or not target.startswith("/") or any(char <= " " or char == "\x7f" for char in target):
+        if words[0] not in METHODS or TARGET(words[1]) is None:
             raise BadMessage("bad request line")
+        method, target = words[0].decode(), words[1].decode()
         headers = _headers(lines[1:])
         body = await self._body(_length(headers, MAX_BODY))
         path, _, query = target.partition("?")
