--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -728,26 +728,32 @@
         held: list[tuple[Job, int]] = []
         for ref, record in changes:
             key = JOBS + ref
+            job = self.part.jobs.get(ref)
+            keep = record.owned(self.number)
+            if job is None or job.placed_bits & ~keep:
+                # Between the choice and this write a task of it was placed: once, a gang was passed on while the
+                # write for the gang before it took its time, and ran in both parts.
+                continue
             conditions.append(when(key, self._replica.mark(key)))
             puts.append(put(key, records.write(record)))
-            job = self.part.jobs[ref]
-            keep = record.owned(self.number)
             held.append((job, job.owned & ~keep))
             job.owned &= keep  # nothing of it starts here while the write is on its way
+        if not puts:
+            return
         try:
             at = await self._state.transact(conditions, puts, Urgency.PROGRESS)
         except (Conflicted, Unavailable, LeaseGone) as error:
             log.debug("event=steal_failed part=%d error=%s", self.number, error)
             if isinstance(error, Conflicted):
-                await self._refresh([JOBS + ref for ref, _ in changes])
+                await self._refresh([JOBS + job.ref for job, _ in held])
             for job, bits in held:
                 self._take_back(job, bits)
         except Unknown:
             # It may yet be applied: the tasks stay out of reach until another write has settled the key.
-            for ref, _ in changes:
-                self.group.spawn(self._settle(ref), "settle-steal")
+            for job, _ in held:
+                self.group.spawn(self._settle(job.ref), "settle-steal")
         else:
-            log.info("event=steal part=%d thief=%d jobs=%d", self.number, thief, len(changes))
+            log.info("event=steal part=%d thief=%d jobs=%d", self.number, thief, len(puts))
             for change in puts:
                 self._replica.learn(change.key, bytes(change.value), at)
                 self._push(change.key, bytes(change.value), at)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import msgspec
 import pytest
 
 from badgerroute.coordination.owner import Owner
@@ -402,6 +403,28 @@
     assert day.rules.broken == []
 
 
+def test_placed_tasks_are_never_given_away() -> None:
+    """The choice of what to give may be older than its write: a task may have been placed in between."""
+    day = Day(seed=6)
+    day.run(4)
+    for number in range(4):
+        day.submit(job(f"run-g{number}", gait="group", heads=2, cpus=3.0, trek_s=20.0))
+    day.run(6)
+    tried = 0
+    for controller, _ in day.controllers.values():
+        for owner in controller.owners.values():
+            for one in list(owner.part.jobs.values()):
+                record = controller.book.active[one.ref]
+                thief = (owner.number + 1) % 3
+                moved = msgspec.structs.replace(record, ranges=[(thief, 0, one.spec.tasks)])
+                day.loop.run(day.loop.spawn(owner._write_steal([(one.ref, moved)], thief), "give"))
+                assert controller.book.active[one.ref].ranges == record.ranges
+                tried += bool(one.placed)
+    assert tried
+    assert day.finish() == []
+    assert day.rules.broken == []
+
+
 def test_share_moves_only_while_unused(monkeypatch: pytest.MonkeyPatch) -> None:
     """A share that is being given away counts as given before the write is known to be applied."""
     seen: list[tuple[float, float]] = []
