--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -366,6 +366,7 @@
             self._expire(now)
             self._notices(now)
             self.part.settle()
+            self.planner.release_holds(now)
             self.planner.gangs(now, over)
             if not over():
                 self.planner.make_room_for_arrays(now)
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -18,6 +18,7 @@
 log = logging.getLogger("badgerroute.planner")
 ORDER_KEPT = timedelta(milliseconds=250)
 HELD = timedelta(seconds=6)  # how long room that was made for an array waits for its tasks
+GANG_HELD = timedelta(seconds=30)  # and for a gang, whose tasks save before they go
 BESIDE = timedelta(seconds=6)  # how long a small task passes by an empty machine for one in use
 FETCH_SPREAD = 1.3  # fetches take up to a third longer than the machine type's rate says
 LEAD_REPORTS = 3  # reports that pass between the decision to make room and the start in it
@@ -152,10 +153,6 @@
         """
         holder = self.part.jobs.get(machine.held_for or "")
         if holder is None or not holder.waiting_bits:
-            machine.held_for = None
-            return jobs
-        if machine.held_until is not None and now > machine.held_until:
-            machine.held_for = machine.held_until = None
             return jobs
         return [job for job in jobs if job is holder or not self._may_stop(job, holder)]
 
@@ -318,6 +315,18 @@
                 machine.held_for = None
         return True
 
+    def release_holds(self, now: timedelta) -> None:
+        """Give up room that was made for a job which has no use for it any more.
+
+        A gang that was passed on, or fitted elsewhere, once left its machines held for ever: idle, and never returned.
+        """
+        for machine in self.part.machines.values():
+            if machine.held_for is not None:
+                holder = self.part.jobs.get(machine.held_for)
+                late = machine.held_until is not None and now > machine.held_until
+                if late or holder is None or not holder.waiting_bits:
+                    machine.held_for = machine.held_until = None
+
     def room_without(self, level: int) -> list[tuple[Machine, Room]]:
         """What each machine could offer a job of a level: its free room and that of work which may be stopped."""
         found = []
@@ -382,7 +391,7 @@
                 found = self._clear_out(machine, job, now)
                 if found is not None and found[0] <= job.need.cpus * fetch.total_seconds():
                     options.append((found[0], machine.name, machine, found[1]))
-        return self._clear(job, tasks, options)
+        return self._clear(job, tasks, options, now)
 
     def _candidates(self, job: Job, now: timedelta, free: bool = False) -> list[Machine]:
         """Machines that may run the job; `free`: only those with room for one of its tasks."""
@@ -494,9 +503,11 @@
             found = self._clear_out(machine, job, now)
             if found is not None:
                 options.append((found[0], machine.name, machine, found[1]))
-        self._clear(job, tasks, options)
+        self._clear(job, tasks, options, now)
 
-    def _clear(self, job: Job, tasks: int, options: list[tuple[float, str, Machine, list[Placement]]]) -> bool:
+    def _clear(
+        self, job: Job, tasks: int, options: list[tuple[float, str, Machine, list[Placement]]], now: timedelta
+    ) -> bool:
         """Stop what is cheapest to stop on as many machines as a gang needs; whether there are so many."""
         options.sort(key=lambda one: one[:2])
         if job.spec.together and options:
@@ -508,7 +519,7 @@
         if len(options) < tasks:
             return False
         for _, _, machine, victims in options[:tasks]:
-            machine.held_for, machine.held_until = job.ref, None
+            machine.held_for, machine.held_until = job.ref, now + GANG_HELD
             for victim in victims:
                 self._preempt(victim, job)
         return True
