--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -1,6 +1,7 @@
 """One owned part at work: taking it over, its members, its reports, its rounds of decisions."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -42,6 +43,7 @@
 GIVE_UP = timedelta(seconds=5)  # a member silent for so long after a takeover is deleted at the cloud
 LOST_PATIENCE = timedelta(seconds=4)
 ROUND = timedelta(milliseconds=250)
+STATE_LOGGED = timedelta(seconds=10)
 SUMMARY_KEPT = timedelta(milliseconds=400)
 REGISTER_LIMIT = timedelta(seconds=1)
 MOST_RANGES = 48
@@ -185,6 +187,7 @@
             self._fence(machine)
         self.part.claimed_at = min(self.part.claimed_at, now)
         self.group.duty(self._rounds, "rounds", ROUND)
+        self.group.duty(self._tell, "tell", STATE_LOGGED)
 
     def _fence(self, machine: Machine) -> None:
         if machine.name not in self._fencing:
@@ -374,6 +377,25 @@
             await self._urgent_halts()
             await self._seek_shares()
 
+    async def _tell(self) -> None:
+        """Where the part stands, for people on call."""
+        while True:
+            await self._loop.sleep(STATE_LOGGED)
+            machines = list(self.part.machines.values())
+            phases = Counter(one.phase.value for machine in machines for one in machine.placements.values())
+            log.info(
+                "event=part_state part=%d machines=%d unusable=%d empty=%d held=%d free=%.0f jobs=%d wanting=%d %s",
+                self.number,
+                len(machines),
+                sum(not one.usable for one in machines),
+                sum(one.empty for one in machines),
+                sum(one.held_for is not None for one in machines),
+                sum(one.free.cpus for one in machines),
+                len(self.part.jobs),
+                sum(job.waiting_bits.bit_count() for job in self.part.jobs.values()),
+                " ".join(f"{phase}={count}" for phase, count in sorted(phases.items())),
+            )
+
     def _expire(self, now: timedelta) -> None:
         lost = self.part.expire(now, self._claims.proved, self._settings.machine_lease, self.grace)
         for machine in lost:
