Room for a gang is made once, on machines held for it; stopped gangs are dearer to stop

Now machines that are held for the gang come first, a fetch so far counts as a loss, and each stop makes the next dearer. New log lines: job_done, running.

--- a/badgerroute/coordination/jobs.py
+++ b/badgerroute/coordination/jobs.py
@@ -189,6 +189,12 @@
                 continue
             except LeaseGone:
                 return
+            finished = [key.removeprefix(JOBS) for key, value in results if value is None]
+            for ref in finished:
+                record = self.active.get(ref)
+                if record is not None:
+                    took = self._loop.clock.today().timestamp() - record.accepted
+                    log.info("event=job_done job=%s class=%s took=%.1f", ref, record.job.job_class, took)
             for key, value in results:
                 self._change(key, value, at)
             return
--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -187,6 +187,7 @@
     run_count: int = 0
     failures: int = 0
     failed_on: set[str] = field(default_factory=set)
+    stopped: int = 0  # times that a gang was stopped for another job
     blocked_until: timedelta = ZERO
     level: int = 0  # of its priority; both are asked for at every turn, so they are kept ready
     gang: bool = False
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -306,6 +306,14 @@
             placement.attempt = task.attempt
         if phase is Phase.RUNNING and placement.running_since is None:
             placement.running_since = now
+            log.debug(
+                "event=running task=%s/%d machine=%s fetched=%.1f age=%.1f",
+                ref,
+                index,
+                machine.name,
+                (now - placement.since).total_seconds(),
+                (now - placement.job.accepted).total_seconds(),
+            )
         if placement.phase is not phase:
             placement.phase = phase
         machine.touch_image(placement.job.spec.image, placement.job.spec.image_gb)
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -183,10 +183,7 @@
             if not bits:
                 return False
             wait = job.waited(lowest(bits), now)
-            correction = self.part.estimates.correction(spec.job_class)
-            fetch = ladder.fetch_time(job, machine)
-            within = self._latest_choice(job, fetch)
-            if ladder.allowed(job, wait, fetch, self._images, correction, self._settings, within) < rung:
+            if self._allowed(job, machine, wait) < rung:
                 return False
         if job.desire < 1.0:
             self._begin_desire(job, now)
@@ -248,6 +245,15 @@
                 placed += self._place_gang(job, now, make_room=False)
         return placed
 
+    def _lacks_share(self, job: Job) -> bool:
+        return self.part.fits_share(job, job.spec.tasks) < job.spec.tasks
+
+    def _allowed(self, job: Job, machine: Machine, wait: timedelta) -> ladder.Rung:
+        fetch = ladder.fetch_time(job, machine)
+        correction = self.part.estimates.correction(job.spec.job_class)
+        within = self._latest_choice(job, fetch)
+        return ladder.allowed(job, wait, fetch, self._images, correction, self._settings, within)
+
     def gangs(self, now: timedelta, over: Callable[[], bool]) -> int:
         """Place waiting gangs, each whole or not at all."""
         if not self.part.settled:
@@ -271,7 +277,6 @@
         if self.part.fits_share(job, tasks) < tasks:
             self._lacks(job, tasks)
             return False
-        correction = self.part.estimates.correction(job.spec.job_class)
         wait = now - job.since
         options: list[tuple[int, float, float, float, Machine]] = []
         blocked_by_rung = False
@@ -279,9 +284,7 @@
             if not machine.free.holds(job.need) or machine.held_for not in (None, job.ref):
                 continue
             rung = ladder.rung_of(job, machine, self._images)
-            fetch = ladder.fetch_time(job, machine)
-            within = self._latest_choice(job, fetch)
-            if rung > ladder.allowed(job, wait, fetch, self._images, correction, self._settings, within):
+            if rung > self._allowed(job, machine, wait):
                 blocked_by_rung = True
                 continue
             # Where it must be fetched, on the machine with the fewest images: the others are worth more to others.
@@ -375,7 +378,7 @@
             and job.ref not in holders
             and job.waiting_bits
             and now - job.since >= self._patience(job)
-            and self.part.fits_share(job, job.spec.tasks) >= job.spec.tasks  # else no other part could place it either
+            and not self._lacks_share(job)  # else no other part could place it either
         ]
 
     def _better_beside_image(
@@ -449,13 +452,19 @@
 
     @staticmethod
     def _loss(placement: Placement, now: timedelta) -> float:
-        """Useful work that stopping a task throws away, in processor-seconds."""
+        """What stopping a task throws away, in processor-seconds: useful work, or the fetch so far.
+
+        It weighs more with every time that the job was stopped: else a gang that is always the cheapest to stop, since
+        it is always fetching, never gets to run (seven times in a row, once).
+        """
         spec = placement.job.spec
         if placement.running_since is None:
-            return 0.0
-        ran = (now - placement.running_since).total_seconds()
-        kept = spec.save_s + 1.0 if spec.checkpoint_s else ran
-        return min(ran, kept) * max(spec.cpus, 0.01) * len(placement.job.placed if spec.gang else (0,))
+            lost = (now - placement.since).total_seconds()
+        else:
+            ran = (now - placement.running_since).total_seconds()
+            lost = min(ran, spec.save_s + 1.0) if spec.checkpoint_s else ran
+        size = len(placement.job.placed) if spec.gang else 1
+        return lost * max(spec.cpus, 0.01) * size * (1 + placement.job.stopped)
 
     def _clear_out(self, machine: Machine, job: Job, now: timedelta) -> tuple[float, list[Placement]] | None:
         """The cheapest set of tasks to stop so that one task of the job fits, and what is lost with them."""
@@ -508,8 +517,12 @@
     def _clear(
         self, job: Job, tasks: int, options: list[tuple[float, str, Machine, list[Placement]]], now: timedelta
     ) -> bool:
-        """Stop what is cheapest to stop on as many machines as a gang needs; whether there are so many."""
-        options.sort(key=lambda one: one[:2])
+        """Stop what is cheapest to stop on as many machines as a gang needs; whether there are so many.
+
+        Machines that are held for it already come first: else every round would make room on others, and more than
+        the gang has use for.
+        """
+        options.sort(key=lambda one: (one[2].held_for != job.ref, *one[:2]))
         if job.spec.together and options:
             zones: dict[str, list] = {}
             for one in options:
@@ -527,8 +540,11 @@
     def _preempt(self, victim: Placement, job: Job) -> None:
         spec = victim.job.spec
         grace = timedelta(seconds=spec.save_s) if spec.checkpoint_s else ZERO
-        log.debug("event=preempt task=%s/%d for=%s", victim.job.ref, victim.index, job.ref)
+        log.debug(
+            "event=preempt task=%s/%d machine=%s for=%s", victim.job.ref, victim.index, victim.machine.name, job.ref
+        )
         if spec.gang:
+            victim.job.stopped += 1
             self.part.stop_gang(victim.job, grace)
         else:
             self.part.stop(victim, grace)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -171,6 +171,38 @@
     assert running.placed[0].stopping is stopped
 
 
+def test_room_for_a_gang_is_made_once() -> None:
+    """Work that would be cheaper to stop turns up later: the machines chosen before stay the ones."""
+    target = part(4)
+    lesser = add(target, submission("run-v", priority=Priority.IDLE, tasks=4, cpus=8.0))
+    for number in range(2):
+        placement = target.place(lesser, number, 1, target.machines[f"host-{number + 2}"], 0 * S, Phase.RUNNING)
+        placement.running_since = timedelta(0)
+    gang = add(target, submission("run-g", kind="group", tasks=2, cpus=8.0, priority=Priority.URGENT))
+    for name in ("host-0", "host-1"):
+        target.machines[name].alive = False
+    planner = Planner(target, Scheduling(), Objectives([]))
+    planner.gangs(200 * S, never)
+    for number, name in enumerate(("host-0", "host-1")):
+        target.machines[name].alive = True
+        target.place(lesser, number + 2, 2, target.machines[name], 200 * S, Phase.RUNNING).running_since = 200 * S
+    planner.gangs(201 * S, never)
+    assert not gang.placed
+    assert {one.machine.name for one in lesser.placed.values() if one.stopping} == {"host-2", "host-3"}
+
+
+def test_gang_that_was_stopped_is_dearer_to_stop() -> None:
+    target = part(2)
+    gangs = [add(target, submission(f"run-{number}", kind="group", team="red", tasks=1, cpus=8.0)) for number in "ab"]
+    for gang, machine in zip(gangs, target.machines.values(), strict=True):
+        target.place(gang, 0, 1, machine, timedelta(0), Phase.FETCHING)
+    gangs[0].stopped = 1
+    other = add(target, submission("run-g", kind="group", tasks=1, cpus=8.0))
+    other.guaranteed = True
+    Planner(target, Scheduling(), Objectives([])).gangs(200 * S, never)
+    assert [gang.placed[0].stopping for gang in gangs] == [False, True]
+
+
 # -- what messages prove
 
 
