--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -185,7 +185,7 @@
     planner.gangs(200 * S, never)
     for number, name in enumerate(("host-0", "host-1")):
         target.machines[name].alive = True
-        target.place(lesser, number + 2, 2, target.machines[name], 200 * S, Phase.RUNNING).running_since = 200 * S
+        target.place(lesser, number + 2, 2, target.machines[name], 201 * S, Phase.FETCHING)
     planner.gangs(201 * S, never)
     assert not gang.placed
     assert {one.machine.name for one in lesser.placed.values() if one.stopping} == {"host-2", "host-3"}
