--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -44,6 +44,7 @@
 LOST_PATIENCE = timedelta(seconds=4)
 ROUND = timedelta(milliseconds=250)
 STATE_LOGGED = timedelta(seconds=10)
+PARTIAL = timedelta(seconds=3)  # between two writes of a job's progress, unless it may be complete
 SUMMARY_KEPT = timedelta(milliseconds=400)
 REGISTER_LIMIT = timedelta(seconds=1)
 MOST_RANGES = 48
@@ -752,15 +753,19 @@
         for ref, record in changes:
             key = JOBS + ref
             job = self.part.jobs.get(ref)
-            keep = record.owned(self.number)
-            if job is None or job.placed_bits & ~keep:
+            if job is None:
+                continue
+            given = job.owned & ~record.owned(self.number)
+            if given & (job.placed_bits | job.giving):
                 # Between the choice and this write a task of it was placed: once, a gang was passed on while the
                 # write for the gang before it took its time, and ran in both parts.
                 continue
             conditions.append(when(key, self._replica.mark(key)))
             puts.append(put(key, records.write(record)))
-            held.append((job, job.owned & ~keep))
-            job.owned &= keep  # nothing of it starts here while the write is on its way
+            held.append((job, given))
+            # Nothing of it starts here while the write is on its way. What we own may be read from the record again
+            # meanwhile, by the settling of an earlier write for instance, so it is not enough to own it no more.
+            job.giving |= given
         if not puts:
             return
         try:
@@ -769,22 +774,23 @@
             log.debug("event=steal_failed part=%d error=%s", self.number, error)
             if isinstance(error, Conflicted):
                 await self._refresh([JOBS + job.ref for job, _ in held])
-            for job, bits in held:
-                self._take_back(job, bits)
         except Unknown:
             # It may yet be applied: the tasks stay out of reach until another write has settled the key.
-            for job, _ in held:
-                self.group.spawn(self._settle(job.ref), "settle-steal")
+            for job, given in held:
+                self.group.spawn(self._settle(job, given), "settle-steal")
+            return
         else:
             log.info("event=steal part=%d thief=%d jobs=%d", self.number, thief, len(puts))
             for change in puts:
                 self._replica.learn(change.key, bytes(change.value), at)
                 self._push(change.key, bytes(change.value), at)
+        for job, given in held:
+            self._given(job, given)
 
-    def _take_back(self, job: Job, bits: int) -> None:
-        record = self._book.active.get(job.ref)
-        if record is not None and self.part.jobs.get(job.ref) is job:
-            job.owned |= bits & record.owned(self.number)
+    def _given(self, job: Job, given: int) -> None:
+        """The outcome is known, and so is what we own."""
+        job.giving &= ~given
+        self.job_changed(job.ref)
 
     async def _refresh(self, keys: list[str]) -> None:
         try:
@@ -792,18 +798,18 @@
         except Unavailable:
             log.debug("event=refresh_failed")
 
-    async def _settle(self, ref: str) -> None:
+    async def _settle(self, job: Job, given: int) -> None:
         """Rewrite a job's record as it is, so that a lost transaction can't be applied any more."""
-        key = JOBS + ref
+        key = JOBS + job.ref
         while True:
             try:
                 found = await self._state.get(key, Urgency.COMPLETE)
                 if found is None:
-                    return
+                    return  # it has its final state: the watch drops it
                 at = await self._state.transact([when(key, found.revision)], [put(key, found.value)], Urgency.COMPLETE)
                 self._replica.learn(key, bytes(found.value), at)
                 self._push(key, bytes(found.value), at)
-                self.job_changed(ref)
+                self._given(job, given)
                 return
             except (Unavailable, Unknown, Conflicted, LeaseGone):
                 await self._loop.sleep(timedelta(milliseconds=500))
@@ -832,12 +838,16 @@
             self._push(key, None, at)
 
     def batch(self) -> list[Progress]:
-        """Newly done tasks to be written down."""
+        """Newly done tasks to be written down: at once if they may be the job's last, else once in a while."""
         found = []
+        now = self._loop.now()
         for ref in list(self.progress):
             job = self.part.jobs.get(ref)
             if job is None or not job.done_here:
                 self.progress.discard(ref)
                 continue
-            found.append(Progress(ref, job.done_here, {self.number}))
+            last = not job.owned & ~(job.done | job.done_here)
+            if last or now - job.written >= PARTIAL:
+                job.written = now
+                found.append(Progress(ref, job.done_here, {self.number}))
         return found
--- /dev/null
+++ b/badgerroute/scheduling/feasible.py
@@ -0,0 +1,54 @@
+"""Which jobs can still be complete in time, given what all of them need of the machines there are.
+
+When more is asked than the machines can do in time, sharing them equally makes every job late. How many jobs are in
+time is what users count, and the rule of Moore and Hodgson makes that number as large as it can be: take the jobs in
+the order of their due times, and whenever one would be late, drop the one with the most work.
+"""
+
+import heapq
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from badgerroute.scheduling.model import ZERO
+
+
+@dataclass(slots=True)
+class Load:
+    """What is left of a job: processor time in all, the shortest time it can take, and the times left until due."""
+
+    ref: str
+    work: timedelta
+    least: timedelta
+    due: Sequence[timedelta]
+
+
+def _in_time(loads: Iterable[Load], number: int, before: timedelta, processors: float) -> list[Load]:
+    """The jobs that can meet their due time of a number, if work that takes `before` comes first."""
+    kept: list[tuple[timedelta, str, Load]] = []  # a heap: most work first
+    total = before
+    candidates = [one for one in loads if number < len(one.due) and one.least <= one.due[number]]
+    for load in sorted(candidates, key=lambda one: (one.due[number], one.ref)):
+        heapq.heappush(kept, (-load.work, load.ref, load))
+        total += load.work / processors
+        if total > load.due[number]:
+            total += heapq.heappop(kept)[0] / processors
+    return [one[2] for one in kept]
+
+
+def tiers(groups: Iterable[Sequence[Load]], processors: float) -> dict[str, int]:
+    """How many of its due times each job will miss. Groups come in the order in which they are served."""
+    processors = max(processors, 1.0)
+    found: dict[str, int] = {}
+    before = ZERO
+    for group in groups:
+        left = {one.ref: one for one in group}
+        for number in range(max((len(one.due) for one in group), default=0)):
+            for load in _in_time(left.values(), number, before, processors):
+                found[load.ref] = number
+                before += load.work / processors
+                del left[load.ref]
+        for load in left.values():
+            found[load.ref] = len(load.due)
+            before += load.work / processors
+    return found
--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -172,11 +172,13 @@
     need: Room
     since: timedelta  # when its tasks here began to wait
     done_here: int = 0  # reported done, not durable yet
+    written: timedelta = -timedelta(days=1)  # when its progress was last written down
     placed: dict[int, Placement] = field(default_factory=dict)
     placed_bits: int = 0
     requeued: dict[int, timedelta] = field(default_factory=dict)
     gang_attempt: int | None = None
     guaranteed: bool = False
+    tier: int = 0  # how many of its due times it will miss; below 0: it has waited too long to begin
     desire: float = 0.0
     booked: float = 0.0  # since the period began: slots in use, summed over samples
     granted: float = 0.0
@@ -191,7 +193,8 @@
     blocked_until: timedelta = ZERO
     level: int = 0  # of its priority; both are asked for at every turn, so they are kept ready
     gang: bool = False
-    _waiting: tuple[tuple[int, int, int, int], int] = ((0, 0, 0, 0), 0)
+    giving: int = 0  # on their way to another part, by a write whose outcome we don't know yet: out of reach
+    _waiting: tuple[tuple[int, ...], int] = ((), 0)
 
     def __post_init__(self) -> None:
         self.level = self.spec.priority.level
@@ -200,13 +203,13 @@
     @property
     def waiting_bits(self) -> int:
         """The tasks that could be started, as a bit set. Asked for far more often than it changes."""
-        made_of = (self.owned, self.done, self.done_here, self.placed_bits)
+        made_of = (self.owned, self.done, self.done_here, self.placed_bits, self.giving)
         if self._waiting[0] != made_of:
             self._waiting = (made_of, self._find_waiting())
         return self._waiting[1]
 
     def _find_waiting(self) -> int:
-        left = self.owned & ~(self.done | self.done_here | self.placed_bits)
+        left = self.owned & ~(self.done | self.done_here | self.placed_bits | self.giving)
         if left and not self.gang:
             finished = self.done | self.done_here
             base = lowest(~finished & (finished + 1))
@@ -214,8 +217,13 @@
         return left
 
     @property
-    def finished(self) -> bool:
-        return (self.done | self.done_here).bit_count() >= self.spec.tasks
+    def over(self) -> bool:
+        """Nothing of it is left here. What is done, but not durable yet, must still be written down.
+
+        While tasks are being given away, `owned` may be empty for a moment; a job forgotten then took the news of its
+        last tasks with it, and they were run again.
+        """
+        return not self.owned and not self.placed and not self.done_here and not self.giving
 
     def waited(self, index: int, now: timedelta) -> timedelta:
         return now - self.requeued.get(index, self.since)
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -127,7 +127,7 @@
         job.owned = owned
         job.done |= record.done()
         job.done_here &= ~job.done
-        if not owned and not job.placed:
+        if job.over:
             del self.jobs[ref]
             return None
         return job
@@ -137,14 +137,14 @@
         job = self.jobs.get(ref)
         if job is None:
             return
-        job.owned = 0
+        job.owned = job.giving = job.done_here = 0
         for placement in list(job.placed.values()):
             if placement.phase is Phase.RESERVED:
                 self._forget(placement)
             else:
                 self.stop(placement, ZERO)
         if not job.placed:
-            del self.jobs[ref]
+            self.jobs.pop(ref, None)
 
     # -- placements
 
@@ -205,7 +205,7 @@
             machine.held.clear()
         if not job.placed:
             job.gang_attempt = None
-            if not job.owned:
+            if job.over:
                 self.jobs.pop(job.ref, None)
 
     def release(self, placement: Placement, now: timedelta) -> None:
--- a/badgerroute/storage/budget.py
+++ b/badgerroute/storage/budget.py
@@ -40,9 +40,9 @@
         self._at = now
 
     async def take(self, cost: float, urgency: Urgency, limit: timedelta) -> None:
+        """Wait for so many tokens. What costs more than the burst takes all of it, and the rest as a debt."""
         self._refill()
-        cost = min(cost, self._burst)
-        if not self._waiting and self._tokens >= cost:
+        if not self._waiting and self._tokens >= min(cost, self._burst):
             self._tokens -= cost
             return
         granted = Future()
@@ -57,7 +57,7 @@
 
     def _arm(self) -> None:
         if self._timer is None and self._waiting:
-            missing = max(0.0, self._waiting[0][2] - self._tokens)
+            missing = max(0.0, min(self._waiting[0][2], self._burst) - self._tokens)
             wait = timedelta(seconds=missing / self._rate) + timedelta(milliseconds=1)
             self._timer = self._loop.later(max(wait, ZERO), self._serve)
 
@@ -68,7 +68,7 @@
             _, _, cost, granted = self._waiting[0]
             if granted.done:
                 heapq.heappop(self._waiting)
-            elif self._tokens >= cost:
+            elif self._tokens >= min(cost, self._burst):
                 heapq.heappop(self._waiting)
                 self._tokens -= cost
                 granted.set()
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -8,6 +8,7 @@
 
 from badgerroute.coordination.owner import Owner
 from badgerroute.coordination.shares import Shares
+from badgerroute.storage import records
 from tests.standins.day import HOSTS, SECOND, Day, job
 
 
@@ -425,6 +426,38 @@
     assert day.rules.broken == []
 
 
+def test_tasks_on_their_way_are_out_of_reach(monkeypatch: pytest.MonkeyPatch) -> None:
+    """While a write that gives tasks away is on its way, the record as it was may be read again. They stay away."""
+    day = Day(seed=7)
+    day.run(4)
+    day.submit(job("run-many", heads=150, trek_s=30.0))
+    day.run(4)
+    looked = 0
+    for controller, _ in day.controllers.values():
+        for owner in controller.owners.values():
+            one = owner.part.jobs["run-many"]
+            top = one.waiting_bits.bit_length()
+            record = controller.book.active["run-many"]
+            thief = (owner.number + 1) % 3
+            moved = msgspec.structs.replace(record, ranges=records.give(record.ranges, top - 3, top, thief))
+            real = owner._state.transact
+
+            async def transact(*args: object, owner=owner, one=one, real=real, top=top) -> int:
+                nonlocal looked
+                owner.job_changed("run-many")
+                looked += 1
+                assert not one.waiting_bits >> (top - 3)
+                return await real(*args)
+
+            with monkeypatch.context() as patch:
+                patch.setattr(owner._state, "transact", transact)
+                day.loop.run(day.loop.spawn(owner._write_steal([("run-many", moved)], thief), "give"))
+            assert one.giving == 0
+    assert looked == 3
+    assert day.finish(400) == []
+    assert day.rules.broken == []
+
+
 def test_share_moves_only_while_unused(monkeypatch: pytest.MonkeyPatch) -> None:
     """A share that is being given away counts as given before the write is known to be applied."""
     seen: list[tuple[float, float]] = []
