As many jobs in time as can be: late ones last, by Moore and Hodgson's rule

Now each controller works out for all jobs, from what all of them know, which can be in time, and the others come last among equals; jobs that have not begun after 160 s come first, so that age wins.

--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -10,6 +10,7 @@
 from badgerroute.coordination.fleet import Fleet, rents_ahead
 from badgerroute.coordination.jobs import JobBook
 from badgerroute.coordination.mesh import Mesh
+from badgerroute.coordination.outlook import Outlook
 from badgerroute.coordination.owner import Owner
 from badgerroute.coordination.shares import Shares
 from badgerroute.coordination.split import split
@@ -85,6 +86,7 @@
             self._machines_gone,
         )
         self.owners: dict[int, Owner] = {}
+        self.outlook = Outlook(settings, loop, self.book, self.replica, self.catalog, self.owners, self._summaries)
         self.siblings: dict[str, Sibling] = {}
         self._teams: dict[str, Team] = {team.name: team for team in params.teams}
         self._flush = Future()
@@ -109,7 +111,7 @@
             (self._catalog_duty, "catalog"),
             (self._gossip_duty, "gossip"),
             (self._flush_duty, "flush"),
-            (self._guarantee_duty, "guarantees"),
+            (self._outlook_duty, "outlook"),
             (self._steal_duty, "steal"),
             (self._hand_over_duty, "hand-over"),
             (self.fleet.rent_duty, "rent"),
@@ -260,24 +262,10 @@
         batch = sorted(merged.values(), key=rest)  # jobs that are complete come first
         await self.book.write_progress(batch, self._condition)
 
-    async def _guarantee_duty(self) -> None:
-        """Which jobs lie within their team's guarantee, together with the team's earlier unfinished jobs."""
+    async def _outlook_duty(self) -> None:
         while True:
             await self._loop.sleep(GOSSIP)
-            used: dict[str, Room] = {}
-            within: dict[str, bool] = {}
-            for ref, record in sorted(self.book.active.items(), key=lambda one: one[1].accepted):
-                job = record.job
-                team = self._teams.get(job.team)
-                if team is None:
-                    continue
-                left = job.tasks - record.done().bit_count()
-                room = used.setdefault(job.team, Room())
-                room.add(Room(left * job.cpus, left * job.accelerators))
-                within[ref] = Room(team.cpus, team.gpus).holds(room)
-            for owner in self.owners.values():
-                for job in owner.part.jobs.values():
-                    job.guaranteed = within.get(job.ref, False)
+            self.outlook.update()
 
     async def _steal_duty(self) -> None:
         """Idle parts ask busy ones for waiting tasks, one request per part and period."""
--- a/badgerroute/scheduling/objectives.py
+++ b/badgerroute/scheduling/objectives.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from badgerroute.protocol.users import Submission
 from badgerroute.scheduling.model import Job
 from badgerroute.settings import Objective
 
@@ -32,13 +33,17 @@
         within = self._wait.get(job.spec.job_class, PATIENT)
         return min(within, self._guarantee) if job.guaranteed else within
 
+    def due(self, spec: Submission) -> list[timedelta]:
+        """The times after its acceptance by which the job should be complete."""
+        due = list(self._finish.get(spec.job_class, ()))
+        if spec.deadline_s is not None:
+            deadline = timedelta(seconds=spec.deadline_s)
+            due += [deadline * times for times in self._times.get(spec.job_class, ())]
+        return due
+
     def missed(self, job: Job, now: timedelta, run: timedelta) -> int:
         """How many of the times by which the job should be complete can't be met any more."""
-        due = list(self._finish.get(job.spec.job_class, ()))
-        if job.spec.deadline_s is not None:
-            deadline = timedelta(seconds=job.spec.deadline_s)
-            due += [deadline * times for times in self._times.get(job.spec.job_class, ())]
-        return sum(now - job.accepted + run > one for one in due)
+        return sum(now - job.accepted + run > one for one in self.due(job.spec))
 
     @property
     def tightest(self) -> timedelta:
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -65,7 +65,7 @@
         self._ordered_at = now
         self._images = ladder.Whereabouts(self.part.machines.values())
         waiting = [job for job in self.part.jobs.values() if job.waiting_bits and job.blocked_until <= now]
-        self._tiers = {job.ref: self._objectives.missed(job, now, self._run_time(job)) for job in waiting}
+        self._tiers = {job.ref: self._tier(job, now) for job in waiting}
         waiting.sort(key=lambda job: (self._group(job), job.accepted))
         self._order = waiting
         arrays = [job.need for job in waiting if not job.gang]
@@ -73,6 +73,9 @@
             min((one.cpus for one in arrays), default=inf), 0.0, min((one.memory_gb for one in arrays), default=inf)
         )
 
+    def _tier(self, job: Job, now: timedelta) -> int:
+        return job.tier if job.tier < 0 else max(job.tier, self._objectives.missed(job, now, self._run_time(job)))
+
     def _run_time(self, job: Job) -> timedelta:
         return ladder.run_time(job, self.part.estimates.correction(job.spec.job_class))
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,6 +8,7 @@
 from badgerroute.protocol.users import Priority, Submission
 from badgerroute.protocol.workers import Report, TaskReport
 from badgerroute.scheduling import af, ladder
+from badgerroute.scheduling.feasible import Load, tiers
 from badgerroute.scheduling.model import Job, Phase, Room
 from badgerroute.scheduling.objectives import Objectives
 from badgerroute.scheduling.part import Part
@@ -203,6 +204,42 @@
     assert [gang.placed[0].stopping for gang in gangs] == [False, True]
 
 
+# -- what can be in time
+
+
+@pytest.mark.parametrize(
+    ("jobs", "expected"),
+    [
+        ({"a": (10, 10, [20])}, {"a": 0}),
+        ({"a": (80, 10, [15]), "b": (100, 10, [20]), "c": (60, 10, [18])}, {"a": 0, "b": 1, "c": 0}),  # most work goes
+        ({"a": (10, 30, [20])}, {"a": 1}),  # one run takes longer, however many processors there are
+        ({"a": (100, 10, [12, 21]), "b": (110, 10, [12, 22])}, {"a": 0, "b": 1}),  # late for the first, not the second
+        ({"a": (10, 10, [])}, {"a": 0}),  # nothing is expected of it
+        ({"a": (10, 10, [-5])}, {"a": 1}),
+    ],
+)
+def test_as_many_jobs_as_can_be_are_in_time(jobs: dict, expected: dict) -> None:
+    loads = [Load(ref, work * S, least * S, [one * S for one in due]) for ref, (work, least, due) in jobs.items()]
+    assert tiers([loads], 10.0) == expected
+
+
+def test_what_is_served_first_leaves_less_time_to_the_rest() -> None:
+    first, second = Load("a", 100 * S, S, [5 * S]), Load("b", 100 * S, S, [15 * S])
+    assert tiers([[first], [second]], 10.0) == {"a": 1, "b": 1}
+    assert tiers([[second]], 10.0) == {"b": 0}
+
+
+@pytest.mark.parametrize(("tier", "first"), [(1, "run-near"), (-1, "run-far")])
+def test_late_jobs_come_last_unless_they_have_waited_too_long(tier: int, first: str) -> None:
+    target = part(1)
+    near, far = add(target, submission("run-near", image="img-1")), add(target, submission("run-far", image="img-2"))
+    far.tier = tier
+    target.machines["host-0"].touch_image("img-2", 5.0)  # its image is here, and still it waits
+    planner = Planner(target, Scheduling(), Objectives([]))
+    assert planner.fill(target.machines["host-0"], 100 * S, never) == 4
+    assert [len(job.placed) for job in (near, far)] == ([4, 0] if first == "run-near" else [0, 4])
+
+
 # -- what messages prove
 
 
