Deaf machines, late copies, and a controller cut off alone

Also: deleting over 16 machines at once no longer exceeds a transaction; takeovers give a silent member 3.5 s instead of 5, and longer if most are silent; /up says no when a controller alone is cut off.

--- a/badgerroute/coordination/claims.py
+++ b/badgerroute/coordination/claims.py
@@ -71,6 +71,13 @@
         """Whether what we know of the state service is recent enough to act on: docs/safety.md, G."""
         return self._loop.now() - self.proved < self._grace
 
+    def outranked(self, part: int, term: int) -> None:
+        """A sibling says that it holds a part, in a higher term than ours: there is no need to wait for G."""
+        claim = self.parts.get(part)
+        if claim is not None and part not in self._busy and term > claim.term:
+            log.warning("event=stood_down part=%d term=%d by=%d", part, claim.term, term)
+            self._drop(part)
+
     def acting(self, part: int) -> bool:
         return part in self.parts and self.fresh()
 
--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -25,7 +25,7 @@
 from badgerroute.storage import records
 from badgerroute.storage.budget import Urgency
 from badgerroute.storage.cloud import CloudClient, CloudUnavailable, NoCapacity
-from badgerroute.storage.replica import CATALOG, JOBS, MACHINES, Replica
+from badgerroute.storage.replica import CATALOG, GONE, JOBS, MACHINES, Replica
 from badgerroute.storage.state import Conflicted, LeaseGone, StateClient, Unavailable, Unknown, put, when
 from badgerroute.transport.http import Request, Response, Server
 from badgerroute.transport.loop import Future, Group, Loop
@@ -35,6 +35,7 @@
 GOSSIP = timedelta(milliseconds=500)
 FLUSH = timedelta(milliseconds=300)
 STALE = timedelta(seconds=3)
+UP_PROOF = timedelta(seconds=3)
 HAND_OVER_PAUSE = timedelta(seconds=2)
 RESERVED_SOCKETS = 48  # for the state service, the cloud, the mesh and commands to workers
 
@@ -90,12 +91,13 @@
         self.siblings: dict[str, Sibling] = {}
         self._teams: dict[str, Team] = {team.name: team for team in params.teams}
         self._flush = Future()
-        self._up_since: timedelta | None = None
+        self._gone: set[str] = set()  # machines that were deleted
         most = max(16, params.resources.fd_limit - RESERVED_SOCKETS - 8 * params.size)
         self._server = Server(loop, group, self._handle, most)
         self.replica.listen(JOBS, self._job_changed)
         self.replica.listen(MACHINES, self._machine_changed)
         self.replica.listen(CATALOG, self._catalog_changed)
+        self.replica.listen(GONE, self._gone_changed)
 
     # -- life
 
@@ -166,9 +168,16 @@
             if owner.ready:
                 owner.machine_changed(key.removeprefix(MACHINES), value)
 
+    def _gone_changed(self, key: str, value: bytes | None, revision: int) -> None:
+        if value is not None:
+            self._gone.update(records.read(value, records.GoneRecord).names)
+
     def _machines_gone(self, names: list[str]) -> None:
-        for owner in list(self.owners.values()):
-            mine = [name for name in names if name in owner.part.machines]
+        self._gone.update(names)
+        members = {name for owner in self.owners.values() for name in owner.part.machines}
+        for number, owner in enumerate(list(self.owners.values())):
+            # One that never was a member is remembered by any of our parts.
+            mine = [name for name in names if name in owner.part.machines or (not number and name not in members)]
             if mine:
                 self._group.spawn(owner.forget_machines(mine), "forget")
 
@@ -221,7 +230,7 @@
             self.settings.platform.host_name,
             self.claims.lease or 0,
             bool(self.catalog) and self.replica.ready.done,
-            0,
+            self._proved(),
             parts,
         )
 
@@ -356,6 +365,8 @@
     def _on_message(self, message: mesh_wire.Message) -> None:
         if isinstance(message, mesh_wire.Gossip):
             self.siblings[message.host] = Sibling(message, self._loop.now())
+            for summary in message.parts:
+                self.claims.outranked(summary.part, summary.term)
         elif isinstance(message, mesh_wire.Push):
             if self.replica.ready.done:
                 self.replica.learn(message.key, message.value, message.revision)
@@ -404,16 +415,30 @@
                 return await self._cancel(ref) if method == "POST" else error(405, "method not allowed")
         return error(404, "no such path")
 
+    def _proved(self) -> bool:
+        return self._loop.now() - self.claims.proved < UP_PROOF
+
     def _up(self) -> Response:
-        if self.replica.ready.done and self.claims.fresh():
-            return answer(200, {"state": "up"})
-        return come_back("not ready")
+        """Whether users should be sent here.
+
+        In an outage that all controllers see, none could serve them better, and being taken out of the load balancer
+        would only last longer than the outage. One that is cut off alone must say so at once.
+        """
+        if not self.replica.ready.done or not self.claims.fresh():
+            return come_back("not ready")
+        heard = [one for one in self.siblings.values() if self._recent(one)]
+        alone = any(one.gossip.proved for one in heard) or (not heard and self.settings.params.size > 1)
+        if not self._proved() and alone:
+            return come_back("cut off from the state service")
+        return answer(200, {"state": "up"})
 
     async def _checkin(self, request: Request) -> Response:
         try:
             report = parse_report(request.body)
         except Malformed as problem:
             return error(400, str(problem))
+        if report.machine in self._gone:
+            return come_back("this machine was deleted")  # a late copy, whatever it says
         part = self._part_of(report.machine)
         owner = self.owners.get(part)
         if owner is None:
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -21,8 +21,8 @@
 from badgerroute.settings import Settings
 from badgerroute.storage import records
 from badgerroute.storage.budget import Urgency
-from badgerroute.storage.records import MachineRecord, lowest
-from badgerroute.storage.replica import JOBS, MACHINES, Replica
+from badgerroute.storage.records import GoneRecord, MachineRecord, lowest
+from badgerroute.storage.replica import GONE, JOBS, MACHINES, Replica
 from badgerroute.storage.state import (
     Conflicted,
     LeaseGone,
@@ -40,7 +40,7 @@
 log = logging.getLogger("badgerroute.owner")
 DIRECT_LIMIT = timedelta(seconds=2)
 FENCE_RETRY = timedelta(milliseconds=700)
-GIVE_UP = timedelta(seconds=5)  # a member silent for so long after a takeover is deleted at the cloud
+GIVE_UP = timedelta(seconds=3.5)  # a member that is silent for so long after a takeover is deleted at the cloud
 LOST_PATIENCE = timedelta(seconds=4)
 ROUND = timedelta(milliseconds=250)
 STATE_LOGGED = timedelta(seconds=10)
@@ -48,6 +48,8 @@
 SUMMARY_KEPT = timedelta(milliseconds=400)
 REGISTER_LIMIT = timedelta(seconds=1)
 MOST_RANGES = 48
+FORGET_AGAIN = timedelta(seconds=1)
+MOST_GONE = 200  # deleted machines that a part remembers
 PASS_ON_PAUSE = timedelta(seconds=8)  # a gang that was passed on is left where it is for so long
 
 Push = Callable[[str, bytes | None, int], None]
@@ -141,7 +143,9 @@
         self._push, self._progressed = push, progressed
         self.group = Group(loop, f"{parent.name}/part-{number}")
         self.objectives = Objectives(settings.params.objectives)
-        self.part = Part(number, claim.term, lambda team: shares.of(number, team), loop.now())
+        self.part = Part(
+            number, claim.term, lambda team: shares.of(number, team), loop.now(), settings.params.workers.lease
+        )
         self.planner = Planner(self.part, settings.operator.scheduling, self.objectives, settings.params.workers.report)
         self.grace = claim.grace
         self.ready = False
@@ -149,6 +153,7 @@
         self._window = records.window(settings.params.state.value_kb)
         self._clients: dict[str, Client] = {}
         self._fencing: set[str] = set()
+        self._given_up: set[str] = set()  # neither answers nor commands reach them
         self.registrar = Registrar(loop, self.group, state, replica, push)
         self.progress: set[str] = set()
         self._passed_on: dict[str, timedelta] = {}
@@ -196,19 +201,23 @@
             self.group.spawn(self._fence_one(machine), f"fence-{machine.name}")
 
     async def _fence_one(self, machine: Machine) -> None:
-        """Tell a member of the new term until its list is known, or it is gone."""
+        """Tell a member of the new term until its list is known and it hears us, or it is gone."""
         began = self._loop.now()
-        asked = False
         try:
-            while self.part.machines.get(machine.name) is machine and not machine.fenced:
+            while self.part.machines.get(machine.name) is machine and (not machine.fenced or machine.deaf):
                 if not await self.direct(machine, []):
-                    if not asked and self._loop.now() - began > GIVE_UP:
-                        asked = True
+                    if machine.name not in self._given_up and self._loop.now() - began > self._patience():
+                        self._given_up.add(machine.name)
                         log.info("event=silent_member machine=%s part=%d", machine.name, self.number)
                         self.delete([machine.name])
                     await self._loop.sleep(FENCE_RETRY)
         finally:
             self._fencing.discard(machine.name)
+            self._given_up.discard(machine.name)
+
+    def _patience(self) -> timedelta:
+        """If most members are silent, the fault is more likely on our side: don't have them all deleted at once."""
+        return GIVE_UP if 2 * len(self._fencing) <= len(self.part.machines) + 3 else 5 * GIVE_UP
 
     def _client(self, machine: Machine) -> Client:
         client = self._clients.get(machine.name)
@@ -302,6 +311,10 @@
             return None
         if not self._claims.acting(self.number) or self.part.machines.get(report.machine) is not machine:
             return None
+        if machine.deaf or machine.name in self._given_up:
+            # Each answer of ours would put off the time from which on it is certainly rid of its tasks.
+            self._fence(machine)
+            return None
         fresh = self.take_in(machine, report, checkin=True)
         now = self._loop.now()
         if fresh:
@@ -315,7 +328,7 @@
             self.planner.fill(machine, now, over)
         commands = self.part.commands(machine, now, starts=fresh) if fresh else []
         machine.answered = now
-        if not machine.fenced:
+        if not machine.fenced or machine.deaf:
             self._fence(machine)
         return ReportAnswer(self.part.term, commands)
 
@@ -817,25 +830,32 @@
     # -- members leave
 
     async def forget_machines(self, names: list[str]) -> None:
-        """Machines that the cloud says are gone: their tasks are too."""
+        """Machines that the cloud says are gone: their tasks are too.
+
+        They are written down as gone, so that a late copy of a report does not make a member of one again.
+        """
         now = self._loop.now()
         for name in names:
             self.part.remove_machine(name, now)
             self._clients.pop(name, None)
         self.part.settle()
-        keys = [MACHINES + name for name in names if self._replica.mark(MACHINES + name)]
-        if not keys or self.number not in self._claims.parts:
-            return
-        try:
-            at = await self._state.transact(
-                [self._claims.condition(self.number)], [remove(key) for key in keys], Urgency.PROGRESS
-            )
-        except (Unavailable, Unknown, Conflicted, LeaseGone) as error:
-            log.info("event=forget_failed machines=%d error=%s", len(keys), error)
-            return
-        for key in keys:
-            self._replica.learn(key, None, at)
-            self._push(key, None, at)
+        key = f"{GONE}{self.number}"
+        while names and self.number in self._claims.parts:
+            batch = names[: self._state.limits.txn_ops - 1]
+            known = records.read(value, GoneRecord).names if (value := self._replica.value(key)) else []
+            gone = records.write(GoneRecord([*known, *(one for one in batch if one not in known)][-MOST_GONE:]))
+            members = [MACHINES + name for name in batch if self._replica.mark(MACHINES + name)]
+            changes = [put(key, gone), *(remove(one) for one in members)]
+            try:
+                at = await self._state.transact([self._claims.condition(self.number)], changes, Urgency.PROGRESS)
+            except (Unavailable, Unknown, Conflicted, LeaseGone) as error:
+                log.info("event=forget_failed machines=%d error=%s", len(batch), error)
+                await self._loop.sleep(FORGET_AGAIN)
+                continue
+            for one, value in ((key, bytes(gone)), *((member, None) for member in members)):
+                self._replica.learn(one, value, at)
+                self._push(one, value, at)
+            names = names[len(batch) :]
 
     def batch(self) -> list[Progress]:
         """Newly done tasks to be written down: at once if they may be the job's last, else once in a while."""
--- a/badgerroute/protocol/mesh.py
+++ b/badgerroute/protocol/mesh.py
@@ -56,7 +56,7 @@
     host: str
     lease: int
     ready: bool
-    booting: int
+    proved: bool  # the state service answered it within the last seconds
     parts: list[PartSummary]
 
 
--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -125,6 +125,9 @@
     answered: timedelta | None = None  # when one of its reports was last answered by us
     heard: timedelta | None = None
     alive: bool = False
+    dead_session: int = 0  # its lease ended in this session: whatever still comes from it is an old copy
+    untaken: int = 0  # reports in a row that lacked a start which an answer of ours had carried
+    deaf: bool = False  # its reports reach us, but it seems that our answers don't reach it
     lost_at: timedelta | None = None  # when its lease was found to be over
     notice: timedelta | None = None  # steady time at which the cloud takes it
     draining: bool = False
@@ -141,7 +144,7 @@
 
     @property
     def usable(self) -> bool:
-        return self.alive and self.fenced and not self.draining and self.notice is None
+        return self.alive and self.fenced and not self.draining and not self.deaf and self.notice is None
 
     @property
     def empty(self) -> bool:
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -26,6 +26,7 @@
 ATTEMPT_BITS = 24
 SICK_JOBS = 2  # so many different jobs failing on a machine make it suspect
 SICK_TRIES = 3
+UNTAKEN = 2  # one answer may be lost on its way
 BACKOFF = timedelta(seconds=2)
 MOST_BACKOFF = timedelta(seconds=60)
 
@@ -67,8 +68,16 @@
 
 
 class Part:
-    def __init__(self, number: int, term: int, shares: Callable[[str], tuple[float, float]], now: timedelta) -> None:
+    def __init__(
+        self,
+        number: int,
+        term: int,
+        shares: Callable[[str], tuple[float, float]],
+        now: timedelta,
+        lease: timedelta = timedelta(seconds=10),
+    ) -> None:
         self.number, self.term = number, term
+        self._lease = lease  # of the workers
         self.fence = term  # machines must have seen at least this before their lists are the last word
         self.shares = shares
         self.claimed_at = now
@@ -236,13 +245,17 @@
 
         None: the message is older than what is known already, and must change nothing.
         """
-        if not report.newer_than(machine.session, machine.seq):
+        if report.session <= machine.dead_session or not report.newer_than(machine.session, machine.seq):
             return None
         events = Events()
+        if not checkin:
+            machine.deaf, machine.untaken = False, 0  # it answered a command, so it hears us
         if report.session > machine.session and machine.session:
             # The lease expired in between: everything that was on the machine is dead.
             self.lose_tasks(machine, now)
             events.freed = True
+            if checkin and machine.answered is not None and now - machine.answered < self._lease:
+                self._deafen(machine)  # its lease ran out although we answered: it does not hear us
         machine.session, machine.seq = report.session, report.seq
         machine.token_seen = max(machine.token_seen, report.token)
         machine.heard = now
@@ -272,19 +285,37 @@
         for ref, index, task in present:
             seen.add((ref, index))
             self._present(machine, ref, index, task, now)
+        untaken = False
         for key, placement in list(machine.placements.items()):
             if key in seen or placement.phase is Phase.RESERVED:
                 continue
-            if placement.phase is Phase.SENT and not self._settles(placement, report, checkin):
-                machine.listed = None
-                continue
+            if placement.phase is Phase.SENT:
+                if not self._settles(placement, report, checkin):
+                    machine.listed = None
+                    continue
+                untaken = True
             self.release(placement, now)
             events.freed = True
+        if untaken:
+            machine.untaken += 1
+            if machine.untaken >= UNTAKEN:
+                self._deafen(machine)
+        elif machine.placements:
+            machine.untaken = 0
         if not machine.placements:
             if machine.idle_since is None:
                 machine.idle_since = now
         return events
 
+    def _deafen(self, machine: Machine) -> None:
+        """Nothing more is placed there, or it would be started, found missing and started again for ever."""
+        if not machine.deaf:
+            log.info("event=machine_deaf machine=%s part=%d", machine.name, self.number)
+        machine.deaf = True
+        for placement in list(machine.placements.values()):
+            if placement.phase is Phase.RESERVED:
+                self._forget(placement)
+
     @staticmethod
     def _settles(placement: Placement, report: Report, checkin: bool) -> bool:
         """Whether a start's absence from this message proves that it was not and will not be executed.
@@ -454,6 +485,7 @@
                 self.lose_tasks(machine, now)
                 machine.strays.clear()
                 machine.alive = False
+                machine.dead_session = machine.session
                 machine.fenced = True
                 machine.idle_since = None
                 lost.append(machine)
--- a/badgerroute/storage/records.py
+++ b/badgerroute/storage/records.py
@@ -28,6 +28,12 @@
     spot: bool
 
 
+class GoneRecord(Struct):
+    """Machines of a part that were deleted lately."""
+
+    names: list[str]
+
+
 class ShareRecord(Struct):
     """How much of a team's limit each part may use: part number -> [cpus, accelerators]."""
 
--- a/badgerroute/storage/replica.py
+++ b/badgerroute/storage/replica.py
@@ -14,7 +14,7 @@
 
 log = logging.getLogger("badgerroute.replica")
 PREFIX = "b/"
-PARTS, FLEET, JOBS, PAST, MACHINES, SHARES, CATALOG = (
+PARTS, FLEET, JOBS, PAST, MACHINES, SHARES, CATALOG, GONE = (
     "b/parts/",
     "b/fleet",
     "b/jobs/",
@@ -22,8 +22,9 @@
     "b/machines/",
     "b/shares/",
     "b/catalog",
+    "b/gone/",
 )
-LISTED = (PARTS, FLEET, JOBS, MACHINES, SHARES, CATALOG)  # finished jobs are for ever: too many to hold
+LISTED = (PARTS, FLEET, JOBS, MACHINES, SHARES, CATALOG, GONE)  # finished jobs are for ever: too many to hold
 BLOCK = timedelta(seconds=1)
 PAUSE = timedelta(milliseconds=150)  # between two watches: each one counts as a request
 
--- a/tests/standins/day.py
+++ b/tests/standins/day.py
@@ -193,8 +193,23 @@
             self.run(1)
         return None
 
+    def send_copies(self, count: int, machines: set[str] | None = None) -> None:
+        """Deliver old reports once more, to anybody; their answers reach nobody."""
+        old = [one for one in self.site.copies if machines is None or one[0] in machines]
+        for _, body in self.random.sample(old, min(count, len(old))):
+            self.ask("POST", "/checkin", body)
+
+    def ghosts(self) -> list[str]:
+        """Members that no longer exist."""
+        members = [key.removeprefix("b/machines/") for key in self.state.items if key.startswith("b/machines/")]
+        return [name for name in members if name not in self.site.workers]
+
     def finish(self, limit: float = 240) -> list[str]:
-        """Let everything come to an end; the accepted jobs that did not."""
+        """Let everything come to an end; the accepted jobs that did not.
+
+        By now all troubles are over, so a job about which nobody answers for 75 s is forgotten.
+        """
+        answered = dict.fromkeys(self.accepted, self.loop.now())
 
         def left() -> list[str]:
             return [ref for ref in sorted(self.accepted) if self.told.get(ref) not in ("done", "withdrawn")]
@@ -203,5 +218,8 @@
         while left() and self.loop.now() < end:
             self.run(2)
             for ref in left():
-                self.poll(ref)
+                if self.poll(ref) is not None:
+                    answered[ref] = self.loop.now()
+                elif self.loop.now() - answered[ref] > 75 * SECOND:
+                    self.rules.breach("forgotten", f"{ref}: no answer for 75 s")
         return left()
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -26,6 +26,7 @@
         self.leases: dict[int, tuple[timedelta, timedelta]] = {}  # ttl, end
         self.next_lease = 1
         self.down = False
+        self.slow = 1.0
         self.refused: set[str] = set()
         self.changed = Future()
         self.drop_answers = 0  # so many transactions are carried out, but their answers are lost
@@ -76,7 +77,7 @@
         changed.set()
 
     async def _handle(self, who: str, request: Request) -> Response:
-        await self.loop.sleep(timedelta(milliseconds=self.world.random.uniform(1, 8)))
+        await self.loop.sleep(timedelta(milliseconds=self.slow * self.world.random.uniform(1, 8)))
         if self.down or who in self.refused:
             return reply(503, {"error": "down"})
         if request.path == "/txn":
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -1,6 +1,7 @@
 """Stand-ins for workers: leases, sessions, tokens, images, tasks, gangs; and the cloud that rents them."""
 
 import json
+from collections import deque
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -53,6 +54,7 @@
     images: set[str] = field(default_factory=set)
     sick: bool = False
     hung: bool = False
+    deaf: bool = False  # its reports go out, but neither answers nor commands reach it
     notice_at: timedelta | None = None
 
     def __post_init__(self) -> None:
@@ -100,6 +102,9 @@
                 response = await self.clients[hosts[at]].request("POST", "/checkin", body, 4 * SECOND)
             except Unanswered:
                 response = None
+            self.site.copies.append((self.name, body))
+            if self.deaf:
+                response = None
             await self._awake()
             late = self.loop.now() - sent > 4 * SECOND
             if response is not None and not late and response.status == 200:
@@ -128,6 +133,8 @@
 
     async def _serve(self, request: Request) -> Response:
         await self._awake()
+        if self.deaf:
+            await self.loop.sleep(3600 * SECOND)
         if request.path == "/status":
             return reply(200, self.report())
         body = json.loads(request.body)
@@ -326,6 +333,7 @@
         self.rules = Rules(self)
         self.group = Group(self.loop, "site")
         self.cloud_down = False
+        self.copies: deque[tuple[str, bytes]] = deque(maxlen=4000)  # reports as they were sent
         self.lose_rental_answers = 0
         self.never_boots = 0
         self._counter = 0
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -353,6 +353,68 @@
     assert machine.draining is drained
 
 
+DONE = TaskReport("run-1/0", 99, "exited", "done")
+
+
+@pytest.mark.parametrize(
+    ("seq", "session", "token", "tasks"),
+    [
+        (2, 1, 7, []),  # the newest again
+        (1, 1, 7, []),  # of the current session
+        (9, 0, 7, []),  # of an earlier session, with a larger count
+        (1, 1, 7, [RUNNING]),
+        (1, 1, 7, [DONE]),
+        (9, 0, 6, [TaskReport("run-1/1", 98, "running")]),  # a task that died with its session
+    ],
+)
+def test_late_copies_change_nothing(seq: int, session: int, token: int, tasks: list[TaskReport]) -> None:
+    target = part(1)
+    machine = target.machines["host-0"]
+    job = started(target)
+    target.on_report(machine, report(2, [RUNNING]), True, 2 * S)
+    before = (dict(job.placed), job.done_here, machine.fenced, machine.alive, machine.seq, job.waiting_bits)
+    assert target.on_report(machine, report(seq, tasks, token, session), True, 20 * S) is None
+    assert (dict(job.placed), job.done_here, machine.fenced, machine.alive, machine.seq, job.waiting_bits) == before
+
+
+def test_a_copy_does_not_bring_a_lost_machine_back() -> None:
+    """Its lease is over, so its session is: a report of that session, newer than any we saw, is late all the same."""
+    target = part(1)
+    machine = target.machines["host-0"]
+    job = started(target)
+    target.on_report(machine, report(2, [RUNNING]), True, 2 * S)
+    machine.answered = 2 * S
+    assert target.expire(20 * S, 20 * S, 11 * S, 5 * S) == [machine]
+    assert target.on_report(machine, report(9, [RUNNING]), True, 21 * S) is None
+    assert not machine.alive and not job.placed and job.waiting_bits == 1
+    assert target.on_report(machine, report(10, [], session=2), True, 22 * S) is not None
+    assert machine.usable
+
+
+@pytest.mark.parametrize(
+    ("reports", "deaf"),
+    [
+        ([(2, 1, [])], False),  # one answer may be lost
+        ([(2, 1, []), (3, 1, [])], True),  # two starts in a row were not taken
+        ([(2, 1, []), (3, 1, [RUNNING])], False),
+        ([(2, 2, [])], True),  # the lease ran out though we answered a moment ago
+    ],
+)
+def test_machines_that_do_not_hear(reports: list[tuple[int, int, list]], deaf: bool) -> None:
+    target = part(1)
+    machine = target.machines["host-0"]
+    job = started(target)
+    machine.answered = 1 * S
+    for seq, session, tasks in reports:
+        target.on_report(machine, report(seq, tasks, session=session), True, seq * S)
+        if not job.placed and machine.usable:
+            target.place(job, 0, 99, machine, seq * S, Phase.RESERVED)
+            target.commands(machine, seq * S, starts=True)
+    assert machine.deaf is deaf and machine.usable is not deaf
+    target.on_report(machine, report(20, session=machine.session), False, 20 * S)
+    assert machine.usable, "it answered a command"
+
+
 # -- records
 
 
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -185,6 +185,101 @@
     day.site.remove_worker(worker.name)
 
 
+def deaf_machines(day: Day) -> None:
+    """Reports arrive, answers and commands don't. The machine is replaced, and its tasks run elsewhere."""
+    workers = day.random.sample(list(day.site.workers.values()), 2)
+    for worker in workers:
+        worker.deaf = True
+    day.run(3)
+    starts = day.rules.starts
+    day.run(40)
+    assert all(worker.name not in day.site.workers for worker in workers), "deaf machines are replaced"
+    assert day.rules.starts > starts
+
+
+def deaf_in_takeover(day: Day) -> None:
+    """A part whose new owner can't fence one of its machines, while the cloud deletes nothing either."""
+    part = day.random.randrange(3)
+    host = owner_host(day, part)
+    deaf = next(one for one in day.site.workers.values() if int(one.name[-6:]) % 3 == part)
+    deaf.deaf = day.site.cloud_down = True
+    day.restart(host, 30 * SECOND)
+
+    def settled() -> bool:
+        return any(
+            owner.part.settled for one, _ in day.controllers.values() for owner in one.owners.values()
+            if owner.number == part
+        )  # fmt: skip
+
+    assert day.until(settled, 60), "one machine must not block its part"
+    deaf.deaf = day.site.cloud_down = False
+
+
+def late_copies(day: Day) -> None:
+    """Copies of reports of every age, before and after a restart that forgot what was newest, and of the deleted."""
+    doomed = set(day.random.sample(list(day.site.workers), 2))
+    for round_ in range(4):
+        day.send_copies(30)
+        if round_ == 1:
+            crash_all(day)
+        if round_ == 2:
+            for name in doomed:
+                day.site.remove_worker(name)
+            for controller, _ in list(day.controllers.values())[:1]:
+                controller.fleet.delete(sorted(doomed))
+        day.run(5)
+    day.send_copies(30, doomed)
+    day.run(2)
+    assert not doomed & set(day.ghosts()), "a copy brings no machine back"
+
+
+def alone_with_its_workers(mode: str, workers_first: bool) -> Callable[[Day], None]:
+    """A controller loses state service and siblings, but not its workers; they heal one after the other."""
+
+    def fault(day: Day) -> None:
+        host = day.random.choice(HOSTS)
+        siblings, state = [one for one in HOSTS if one != host], [f"state-{host}"]
+        for other in siblings + state:
+            day.world.cut(host, other, mode)
+        day.run(6)
+        up = day.ask("GET", "/up", host=host)
+        assert up is not None and up.status == 503, "the load balancer is told"
+        day.run(22)
+        controller = day.controllers[host][0]
+        assert not any(controller.claims.acting(part) for part in range(3)), "it stops in time"
+        for others in (siblings, state) if workers_first else (state, siblings):
+            for other in others:
+                day.world.heal(host, other)
+            day.run(5)
+
+    return fault
+
+
+def siblings_refuse(day: Day) -> None:
+    """Connections between controllers are refused."""
+    pairs = [(one, other) for one in HOSTS for other in HOSTS if one < other]
+    for one, other in pairs:
+        day.world.cut(one, other, "reset")
+    day.run(25)
+    for one, other in pairs:
+        day.world.heal(one, other)
+
+
+def slow_state(day: Day) -> None:
+    day.state.slow = 20.0
+    day.run(25)
+    day.state.slow = 1.0
+
+
+def crash_in_election(day: Day) -> None:
+    """Back within a fraction of a second, while its part is being claimed or handed back."""
+    host = day.random.choice(HOSTS)
+    day.restart(host, timedelta(seconds=4.2))
+    for pause in (4.1, 0.3, 0.2, 2.1, 0.4):
+        day.run(pause)
+        day.restart(host, SECOND / 10)
+
+
 def lost_answers(day: Day) -> None:
     """Transactions are carried out, but nobody hears of it."""
     for _ in range(5):
@@ -238,6 +333,14 @@
     "hung_machines": hung_machines,
     "machine_reset": machine_cut("reset"),
     "machine_hold": machine_cut("hold"),
+    "deaf_machines": deaf_machines,
+    "deaf_in_takeover": deaf_in_takeover,
+    "late_copies": late_copies,
+    "alone_reset": alone_with_its_workers("reset", True),
+    "alone_hold": alone_with_its_workers("hold", False),
+    "siblings_refuse": siblings_refuse,
+    "slow_state": slow_state,
+    "crash_in_election": crash_in_election,
     "machines_vanish": machines_vanish,
     "sick_machine": sick_machine,
     "spot_notice": spot_notice,
