Gangs go to the part where most machines cache their image

Now parts tell, for each image, the room on machines that cache it, lesser work not counted, and a gang goes where most of its tasks find it; what is fetched is there for the next.

--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -12,7 +12,7 @@
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.common import Malformed, encode
-from badgerroute.protocol.users import Submission
+from badgerroute.protocol.users import Priority, Submission
 from badgerroute.protocol.workers import Command, DirectCommands, Report, ReportAnswer, parse_report
 from badgerroute.scheduling.model import ZERO, Job, Machine, Phase, Room, allows, need_of
 from badgerroute.scheduling.objectives import Objectives
@@ -49,6 +49,7 @@
 REGISTER_LIMIT = timedelta(seconds=1)
 MOST_RANGES = 48
 FORGET_AGAIN = timedelta(seconds=1)
+MOST_BESIDE = 16  # machines that cache an image, of which the others are told
 MOST_GONE = 200  # deleted machines that a part remembers
 PASS_ON_PAUSE = timedelta(seconds=8)  # a gang that was passed on is left where it is for so long
 
@@ -554,6 +555,7 @@
         ]
         levels = {job.priority.level for job in self._book_gangs()}
         soft = {level: self._bins(self.planner.room_without(level)) for level in levels}
+        beside = self.planner.room_beside_images(max(levels, default=Priority.URGENT.level), MOST_BESIDE)
         running = {
             job.ref: count
             for job in self.part.jobs.values()
@@ -567,6 +569,7 @@
             machines=len(self.part.machines),
             bins=bins,
             images=images,
+            beside=beside,
             soft=soft,
             wants=wants,
             freeing=0.0 if self._rents_ahead() else self.planner.freeing(now),
--- a/badgerroute/coordination/split.py
+++ b/badgerroute/coordination/split.py
@@ -43,11 +43,16 @@
     shares = weights(job, summaries, size)
     best = max(range(size), key=lambda part: (shares[part], -part))
     if job.gang or job.together or job.spread or job.tasks == 1:
-        # Whole jobs go where they fit, best of all beside their image: a fetch may take as long as the run.
-        beside = {one.part for one in summaries if one.images.get(job.image, (0.0, 0.0))[1] >= job.cpus}
-        beside = {part for part in beside if part < size and shares[part] >= job.tasks}
-        if beside:
-            best = max(beside, key=lambda part: (shares[part], -part))
+        # Whole jobs go where most machines cache their image, even if lesser work must make room: a fetch may take as
+        # long as the run. And where too few do, what is fetched now is there, in the same part, for the next one.
+        by_part = {one.part: one for one in summaries}
+
+        def beside(part: int) -> int:
+            rooms = by_part[part].beside.get(job.image, ()) if part in by_part else ()
+            return min(job.tasks, sum(room >= job.cpus for room in rooms))
+
+        fitting = [part for part in range(size) if shares[part] >= job.tasks or beside(part) >= job.tasks]
+        best = max(fitting or [best], key=lambda part: (beside(part), shares[part], -part))
         return [(best, 0, job.tasks)]
     total = sum(shares)
     if total <= 0:
--- a/badgerroute/protocol/mesh.py
+++ b/badgerroute/protocol/mesh.py
@@ -43,6 +43,7 @@
     machines: int
     bins: list[Bin]
     images: dict[str, tuple[float, float]]  # image -> free processors beside it: in all, and on one machine at most
+    beside: dict[str, list[float]]  # image -> processors on machines that cache it, lesser work than gangs not counted
     soft: dict[int, list[Bin]]  # level -> room there would be for it if lesser work were stopped
     wants: list[Want]
     freeing: float  # processors of small tasks that should end before a new machine could serve
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -341,6 +341,15 @@
                 found.append((machine, self._room_below(machine, level)))
         return found
 
+    def room_beside_images(self, level: int, most: int) -> dict[str, list[float]]:
+        """For each image, the processors that machines which cache it could offer a job of a level, most first."""
+        found: dict[str, list[float]] = {}
+        for machine, room in self.room_without(level):
+            if 2 * room.cpus >= machine.kind.cpus:
+                for image in machine.images:
+                    found.setdefault(image, []).append(room.cpus)
+        return {image: sorted(rooms, reverse=True)[:most] for image, rooms in found.items()}
+
     @staticmethod
     def _room_below(machine: Machine, level: int) -> Room:
         room = machine.free.copy()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from badgerroute.coordination.split import split
 from badgerroute.protocol.cloud import MachineType
+from badgerroute.protocol.mesh import Bin, PartSummary
 from badgerroute.protocol.users import Priority, Submission
 from badgerroute.protocol.workers import Report, TaskReport
 from badgerroute.scheduling import af, ladder
@@ -204,6 +206,31 @@
     assert [gang.placed[0].stopping for gang in gangs] == [False, True]
 
 
+# -- which part gets what
+
+
+def summary(number: int, free: int, beside: list[float]) -> PartSummary:
+    """A part with so many empty machines, and some that cache the image."""
+    bins = [Bin("k8", "a", False, 8.0, 0.0, 32.0, free)] if free else []
+    return PartSummary(number, 7, True, 9, bins, {}, {"img-1": beside}, {}, [], 0.0, {}, {})
+
+
+@pytest.mark.parametrize(
+    ("parts", "expected"),
+    [
+        ([(4, []), (2, [8.0, 8.0])], 1),  # beside its image, though another part has more room
+        ([(4, []), (0, [8.0, 8.0])], 1),  # even if lesser work must make room there
+        ([(4, []), (0, [8.0])], 0),  # but not where it would not fit
+        ([(4, [8.0]), (9, [])], 0),  # what is fetched now is beside what is there
+        ([(4, [3.0, 3.0]), (9, [])], 1),  # that room is too small
+        ([(4, []), (9, [])], 1),
+    ],
+)
+def test_gangs_go_where_their_image_is(parts: list[tuple[int, list[float]]], expected: int) -> None:
+    summaries = [summary(number, *one) for number, one in enumerate(parts)]
+    assert split(submission(kind="group", tasks=2, cpus=8.0), summaries, len(parts)) == [(expected, 0, 2)]
+
+
 # -- what can be in time
 
 
