--- a/badgerroute/coordination/jobs.py
+++ b/badgerroute/coordination/jobs.py
@@ -156,6 +156,7 @@
             conditions: dict[str, Condition] = {}
             changes: list[Put | Remove] = []
             results: list[tuple[str, bytes | None]] = []
+            over: list[JobRecord] = []
             size = 0
             for one in batch:
                 if size > MOST_BYTES or len(changes) + 2 > self._settings.params.state.txn_ops:
@@ -172,6 +173,7 @@
                     past = records.write(PastRecord("done", record.job.tasks))
                     changes += [remove(key), put(PAST + one.ref, past)]
                     results += [(key, None), (PAST + one.ref, bytes(past))]
+                    over.append(record)
                 elif done != record.done():
                     value = records.write(record.with_done(done))
                     changes.append(put(key, value))
@@ -189,12 +191,11 @@
                 continue
             except LeaseGone:
                 return
-            finished = [key.removeprefix(JOBS) for key, value in results if value is None]
-            for ref in finished:
-                record = self.active.get(ref)
-                if record is not None:
-                    took = self._loop.clock.today().timestamp() - record.accepted
-                    log.info("event=job_done job=%s class=%s took=%.1f", ref, record.job.job_class, took)
+            today = self._loop.clock.today().timestamp()
+            for one in over:
+                log.info(
+                    "event=job_done job=%s class=%s took=%.1f", one.job.ref, one.job.job_class, today - one.accepted
+                )
             for key, value in results:
                 self._change(key, value, at)
             return
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -5,14 +5,15 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from badgerroute.coordination import summary
 from badgerroute.coordination.claims import Claim, Claims
 from badgerroute.coordination.fleet import rents_ahead
 from badgerroute.coordination.jobs import JobBook, Progress
+from badgerroute.coordination.registrar import Push, Registrar
 from badgerroute.coordination.shares import Shares
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.common import Malformed, encode
-from badgerroute.protocol.users import Priority, Submission
 from badgerroute.protocol.workers import Command, DirectCommands, Report, ReportAnswer, parse_report
 from badgerroute.scheduling.model import ZERO, Job, Machine, Phase, Room, allows, need_of
 from badgerroute.scheduling.objectives import Objectives
@@ -49,73 +50,9 @@
 REGISTER_LIMIT = timedelta(seconds=1)
 MOST_RANGES = 48
 FORGET_AGAIN = timedelta(seconds=1)
-MOST_BESIDE = 16  # machines that cache an image, of which the others are told
 MOST_GONE = 200  # deleted machines that a part remembers
 PASS_ON_PAUSE = timedelta(seconds=8)  # a gang that was passed on is left where it is for so long
 
-Push = Callable[[str, bytes | None, int], None]
-
-
-class Registrar:
-    """Writes new members down, several in one transaction."""
-
-    def __init__(self, loop: Loop, group: Group, state: StateClient, replica: Replica, push: Push) -> None:
-        self._loop, self._group, self._state, self._replica, self._push = loop, group, state, replica, push
-        self._waiting: dict[str, tuple[MachineRecord, Future]] = {}
-        self._running = False
-
-    def add(self, name: str, record: MachineRecord) -> Future:
-        found = self._waiting.get(name)
-        if found is None:
-            found = self._waiting[name] = (record, Future())
-        return found[1]
-
-    def start(self, claims: Claims) -> None:
-        if not self._running and self._waiting:
-            self._running = True
-            self._group.spawn(self._run(claims), "registrar")
-
-    async def _run(self, claims: Claims) -> None:
-        try:
-            await self._loop.sleep(timedelta(milliseconds=20))  # machines that come up together go in together
-            while self._waiting:
-                names = list(self._waiting)[: self._state.limits.txn_ops]
-                batch = {name: self._waiting.pop(name) for name in names}
-                written: set[str] = set()
-                try:
-                    written = await self._write(claims, {name: record for name, (record, _) in batch.items()})
-                except (Unavailable, Unknown, Conflicted, LeaseGone) as error:
-                    log.info("event=register_failed machines=%d error=%s", len(batch), error)
-                finally:
-                    for name, (_, future) in batch.items():
-                        future.set(name in written)
-        finally:
-            self._running = False
-
-    async def _write(self, claims: Claims, batch: dict[str, MachineRecord]) -> set[str]:
-        batch = {
-            name: record
-            for name, record in batch.items()
-            if record.part in claims.parts and not self._replica.mark(MACHINES + name)
-        }
-        if not batch:
-            return set()
-        conditions = [claims.condition(part) for part in {record.part for record in batch.values()}]
-        conditions += [when(MACHINES + name, 0) for name in batch]
-        values = {MACHINES + name: records.write(record) for name, record in batch.items()}
-        try:
-            at = await self._state.transact(conditions, [put(*item) for item in values.items()], Urgency.SUBMIT)
-        except Conflicted as error:
-            for key in error.failed:
-                item = await self._state.get(key, Urgency.SUBMIT)
-                if item is not None:
-                    self._replica.learn(key, bytes(item.value), item.revision)
-            raise
-        for key, value in values.items():
-            self._replica.learn(key, bytes(value), at)
-            self._push(key, bytes(value), at)
-        return set(batch)
-
 
 class Owner:
     """Everything a controller does for one part it owns. Ended by `close` when the claim is lost."""
@@ -159,7 +96,6 @@
         self.progress: set[str] = set()
         self._passed_on: dict[str, timedelta] = {}
         self._summary: tuple[timedelta, mesh_wire.PartSummary] | None = None
-        self._rents_ahead = lambda: rents_ahead(settings, catalog)
         self._borrowing: tuple[str, timedelta] | None = None  # gang, and since when
         self._raising: Future | None = None
 
@@ -498,88 +434,17 @@
     # -- stealing
 
     def idle_bins(self) -> tuple[list[mesh_wire.Bin], dict[str, tuple[float, float]]]:
-        """The free room of this part's machines, and where images lie in it."""
-        images: dict[str, tuple[float, float]] = {}
-        rooms: list[tuple[Machine, Room]] = []
-        for machine in self.part.machines.values():
-            if not machine.usable or machine.held_for is not None or machine.free.cpus < 1e-6:
-                continue
-            free = machine.free
-            rooms.append((machine, free))
-            for image in machine.images:
-                total, most = images.get(image, (0.0, 0.0))
-                images[image] = (total + free.cpus, max(most, free.cpus))
-        return self._bins(rooms), images
-
-    @staticmethod
-    def _bins(rooms: list[tuple[Machine, Room]]) -> list[mesh_wire.Bin]:
-        counts: dict[tuple, int] = {}
-        for machine, room in rooms:
-            key = (
-                machine.kind.name,
-                machine.zone,
-                machine.spot,
-                round(room.cpus, 3),
-                round(room.accelerators, 3),
-                round(room.memory_gb, 3),
-            )
-            counts[key] = counts.get(key, 0) + 1
-        return [mesh_wire.Bin(*key, count) for key, count in counts.items()]
+        return summary.idle_bins(self.part)
 
     def summary(self) -> mesh_wire.PartSummary:
         """What others need to know. Made anew a few times a second at most: it looks at everything there is."""
         now = self._loop.now()
         if self._summary is None or now - self._summary[0] >= SUMMARY_KEPT:
-            self._summary = (now, self._summarize(now))
+            ahead = rents_ahead(self._settings, self._catalog)
+            levels = {record.job.priority.level for record in self._book.active.values() if record.job.gang}
+            self._summary = (now, summary.summarize(self.part, self.planner, levels, ahead, now))
         return self._summary[1]
 
-    def _summarize(self, now: timedelta) -> mesh_wire.PartSummary:
-        bins, images = self.idle_bins()
-        wants = [
-            mesh_wire.Want(
-                one.ref,
-                one.team,
-                one.need.cpus,
-                one.need.accelerators,
-                one.need.memory_gb,
-                one.count,
-                one.gang,
-                one.level,
-                one.guaranteed,
-                one.waited.total_seconds(),
-                one.job.spec.types,
-                one.job.spec.zone,
-                one.job.spec.spot,
-            )
-            for one in self.planner.shapes(now)[:200]
-        ]
-        levels = {job.priority.level for job in self._book_gangs()}
-        soft = {level: self._bins(self.planner.room_without(level)) for level in levels}
-        beside = self.planner.room_beside_images(max(levels, default=Priority.URGENT.level), MOST_BESIDE)
-        running = {
-            job.ref: count
-            for job in self.part.jobs.values()
-            if (count := sum(one.running_since is not None for one in job.placed.values()))
-        }
-        used = {team: (one.cpus, one.accelerators) for team, one in self.part.usage.items() if one.tasks}
-        return mesh_wire.PartSummary(
-            part=self.number,
-            term=self.part.term,
-            settled=self.part.settled,
-            machines=len(self.part.machines),
-            bins=bins,
-            images=images,
-            beside=beside,
-            soft=soft,
-            wants=wants,
-            freeing=0.0 if self._rents_ahead() else self.planner.freeing(now),
-            running=running,
-            used=used,
-        )
-
-    def _book_gangs(self) -> list[Submission]:
-        return [record.job for record in self._book.active.values() if record.job.gang]
-
     async def pass_on_gangs(self, summaries: list[mesh_wire.PartSummary]) -> None:
         """Give gangs for which there is no room here to a part that has some, or could make some."""
         now = self._loop.now()
--- /dev/null
+++ b/badgerroute/coordination/registrar.py
@@ -0,0 +1,77 @@
+"""New members of a part, written down before the first start is sent to them."""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from badgerroute.coordination.claims import Claims
+from badgerroute.storage import records
+from badgerroute.storage.budget import Urgency
+from badgerroute.storage.records import MachineRecord
+from badgerroute.storage.replica import MACHINES, Replica
+from badgerroute.storage.state import Conflicted, LeaseGone, StateClient, Unavailable, Unknown, put, when
+from badgerroute.transport.loop import Future, Group, Loop
+
+log = logging.getLogger("badgerroute.registrar")
+Push = Callable[[str, bytes | None, int], None]
+
+
+class Registrar:
+    """Writes new members down, several in one transaction."""
+
+    def __init__(self, loop: Loop, group: Group, state: StateClient, replica: Replica, push: Push) -> None:
+        self._loop, self._group, self._state, self._replica, self._push = loop, group, state, replica, push
+        self._waiting: dict[str, tuple[MachineRecord, Future]] = {}
+        self._running = False
+
+    def add(self, name: str, record: MachineRecord) -> Future:
+        found = self._waiting.get(name)
+        if found is None:
+            found = self._waiting[name] = (record, Future())
+        return found[1]
+
+    def start(self, claims: Claims) -> None:
+        if not self._running and self._waiting:
+            self._running = True
+            self._group.spawn(self._run(claims), "registrar")
+
+    async def _run(self, claims: Claims) -> None:
+        try:
+            await self._loop.sleep(timedelta(milliseconds=20))  # machines that come up together go in together
+            while self._waiting:
+                names = list(self._waiting)[: self._state.limits.txn_ops]
+                batch = {name: self._waiting.pop(name) for name in names}
+                written: set[str] = set()
+                try:
+                    written = await self._write(claims, {name: record for name, (record, _) in batch.items()})
+                except (Unavailable, Unknown, Conflicted, LeaseGone) as error:
+                    log.info("event=register_failed machines=%d error=%s", len(batch), error)
+                finally:
+                    for name, (_, future) in batch.items():
+                        future.set(name in written)
+        finally:
+            self._running = False
+
+    async def _write(self, claims: Claims, batch: dict[str, MachineRecord]) -> set[str]:
+        batch = {
+            name: record
+            for name, record in batch.items()
+            if record.part in claims.parts and not self._replica.mark(MACHINES + name)
+        }
+        if not batch:
+            return set()
+        conditions = [claims.condition(part) for part in {record.part for record in batch.values()}]
+        conditions += [when(MACHINES + name, 0) for name in batch]
+        values = {MACHINES + name: records.write(record) for name, record in batch.items()}
+        try:
+            at = await self._state.transact(conditions, [put(*item) for item in values.items()], Urgency.SUBMIT)
+        except Conflicted as error:
+            for key in error.failed:
+                item = await self._state.get(key, Urgency.SUBMIT)
+                if item is not None:
+                    self._replica.learn(key, bytes(item.value), item.revision)
+            raise
+        for key, value in values.items():
+            self._replica.learn(key, bytes(value), at)
+            self._push(key, bytes(value), at)
+        return set(batch)
