--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -13,15 +13,13 @@
 from badgerroute.coordination.outlook import Outlook
 from badgerroute.coordination.owner import Owner
 from badgerroute.coordination.shares import Shares
-from badgerroute.coordination.split import split
+from badgerroute.coordination.users import Users, answer, come_back, error
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.protocol.cloud import MachineType
-from badgerroute.protocol.common import Malformed, encode
+from badgerroute.protocol.common import Malformed
 from badgerroute.protocol.state import Condition
-from badgerroute.protocol.users import REF, Submission, parse_submission
 from badgerroute.protocol.workers import Redirect, parse_report
-from badgerroute.scheduling.model import Room, capacity_of, need_of
-from badgerroute.settings import Settings, Team
+from badgerroute.settings import Settings
 from badgerroute.storage import records
 from badgerroute.storage.budget import Urgency
 from badgerroute.storage.cloud import CloudClient, CloudUnavailable, NoCapacity
@@ -51,18 +49,6 @@
         self.gossip, self.heard = gossip, heard
 
 
-def answer(status: int, message: object, headers: dict[str, str] | None = None) -> Response:
-    return Response(status, encode(message), headers or {})
-
-
-def error(status: int, text: str) -> Response:
-    return answer(status, {"error": text})
-
-
-def come_back(text: str, status: int = 503) -> Response:
-    return answer(status, {"error": text}, {"Retry-After": "1"})
-
-
 class Controller:
     def __init__(self, settings: Settings, loop: Loop, network: Network, group: Group) -> None:
         self.settings, self._loop, self._network, self._group = settings, loop, network, group
@@ -89,7 +75,7 @@
         self.owners: dict[int, Owner] = {}
         self.outlook = Outlook(settings, loop, self.book, self.replica, self.catalog, self.owners, self._summaries)
         self.siblings: dict[str, Sibling] = {}
-        self._teams: dict[str, Team] = {team.name: team for team in params.teams}
+        self.users = Users(params, self.book, self.replica, self.catalog, self._summaries, self._running)
         self._flush = Future()
         self._gone: set[str] = set()  # machines that were deleted
         most = max(16, params.resources.fd_limit - RESERVED_SOCKETS - 8 * params.size)
@@ -406,13 +392,13 @@
         if path == "/up":
             return self._up() if method == "GET" else error(405, "method not allowed")
         if path == "/v1/jobs":
-            return await self._submit(request) if method == "POST" else error(405, "method not allowed")
+            return await self.users.submit(request) if method == "POST" else error(405, "method not allowed")
         if path.startswith("/v1/jobs/"):
             ref, slash, action = path.removeprefix("/v1/jobs/").partition("/")
             if not slash:
-                return await self._poll(ref) if method == "GET" else error(405, "method not allowed")
+                return await self.users.poll(ref) if method == "GET" else error(405, "method not allowed")
             if action == "cancel":
-                return await self._cancel(ref) if method == "POST" else error(405, "method not allowed")
+                return await self.users.cancel(ref) if method == "POST" else error(405, "method not allowed")
         return error(404, "no such path")
 
     def _proved(self) -> bool:
@@ -460,43 +446,6 @@
         number = int(digits) if digits else zlib.crc32(name.encode())
         return number % self.settings.params.size
 
-    async def _submit(self, request: Request) -> Response:
-        try:
-            job = parse_submission(request.body)
-        except Malformed as problem:
-            log.info("event=submission_malformed error=%s", problem)
-            return error(400, str(problem))
-        if not self.replica.ready.done:
-            return come_back("starting")
-        try:
-            known = await self._known(job)
-            if known is not None:
-                return known
-            if not self.catalog:
-                return come_back("machine types are not known yet")
-            problem = self._impossible(job)
-            if problem is not None:
-                # Whoever accepted it may have known better: only a job that nobody knows can be refused.
-                found = await self.book.look_up(job.ref, Urgency.SUBMIT)
-                return error(422, problem) if found is None else self._state_answer(200, job.ref, found)
-            if await self.book.accept(job, split(job, self._summaries(), self.settings.params.size)):
-                return answer(201, {"ref": job.ref, "condition": "queued"})
-            found = await self.book.look_up(job.ref, Urgency.SUBMIT)
-            return come_back("undecided") if found is None else self._state_answer(200, job.ref, found)
-        except (Unavailable, Unknown, LeaseGone) as trouble:
-            log.info("event=submission_undecided job=%s error=%s", job.ref, trouble)
-            return come_back("the state service can't be reached")
-
-    async def _known(self, job: Submission) -> Response | None:
-        if self.book.final(job.ref) is None and job.ref not in self.book.active:
-            return None
-        found = await self.book.look_up(job.ref, Urgency.SUBMIT)
-        return None if found is None else self._state_answer(200, job.ref, found)
-
-    def _state_answer(self, status: int, ref: str, found: tuple[str, records.JobRecord | None, int]) -> Response:
-        state, record, _ = found
-        return answer(status, self.book.view(ref, state, record, self._running(ref)))
-
     def _running(self, ref: str) -> int:
         """How many tasks run, for display: our own parts' as they are, the others' as last heard."""
         here = sum(
@@ -513,43 +462,3 @@
             if summary.part not in self.owners
         )
         return here + there
-
-    def _impossible(self, job: Submission) -> str | None:
-        """Why a job can never run, if so."""
-        team = self._teams.get(job.team)
-        if team is None:
-            return f"unknown team {job.team}"
-        need = need_of(job)
-        fitting = [
-            kind
-            for kind in self.catalog.values()
-            if (job.types is None or kind.name in job.types)
-            and (job.zone is None or job.zone in kind.zones)
-            and capacity_of(kind).holds(need)
-        ]
-        if not fitting:
-            return "a task fits no allowed machine type"
-        tasks = job.tasks if job.gang else 1
-        if not Room(team.cpus_max, team.gpus_max).holds(Room(tasks * job.cpus, tasks * job.accelerators)):
-            return "more than the team's limit"
-        return None
-
-    async def _poll(self, ref: str) -> Response:
-        if not REF.match(ref):
-            return error(404, "no such job")
-        try:
-            found = await self.book.look_up(ref)
-        except (Unavailable, Unknown) as trouble:
-            log.debug("event=poll_undecided job=%s error=%s", ref, trouble)
-            return come_back("the state service can't be reached")
-        return error(404, "no such job") if found is None else self._state_answer(200, ref, found)
-
-    async def _cancel(self, ref: str) -> Response:
-        if not REF.match(ref):
-            return error(404, "no such job")
-        try:
-            state = await self.book.cancel(ref)
-        except (Unavailable, Unknown, LeaseGone) as trouble:
-            log.info("event=cancellation_undecided job=%s error=%s", ref, trouble)
-            return come_back("the state service can't be reached")
-        return error(404, "no such job") if state is None else answer(200, {"ref": ref, "condition": state})
--- /dev/null
+++ b/badgerroute/coordination/users.py
@@ -0,0 +1,126 @@
+"""What users ask for: submissions, polls, cancellations. Everything that can't be decided is answered at once."""
+
+import logging
+from collections.abc import Callable
+
+from badgerroute.coordination.jobs import JobBook
+from badgerroute.coordination.split import split
+from badgerroute.protocol.cloud import MachineType
+from badgerroute.protocol.common import Malformed, encode
+from badgerroute.protocol.mesh import PartSummary
+from badgerroute.protocol.users import REF, Submission, parse_submission
+from badgerroute.scheduling.model import Room, capacity_of, need_of
+from badgerroute.settings import Params, Team
+from badgerroute.storage import records
+from badgerroute.storage.budget import Urgency
+from badgerroute.storage.replica import Replica
+from badgerroute.storage.state import LeaseGone, Unavailable, Unknown
+from badgerroute.transport.http import Request, Response
+
+log = logging.getLogger("badgerroute.users")
+
+
+def answer(status: int, message: object, headers: dict[str, str] | None = None) -> Response:
+    return Response(status, encode(message), headers or {})
+
+
+def error(status: int, text: str) -> Response:
+    return answer(status, {"error": text})
+
+
+def come_back(text: str, status: int = 503) -> Response:
+    return answer(status, {"error": text}, {"Retry-After": "1"})
+
+
+class Users:
+    """`running` tells how many tasks of a job run, for display."""
+
+    def __init__(
+        self,
+        params: Params,
+        book: JobBook,
+        replica: Replica,
+        catalog: dict[str, MachineType],
+        summaries: Callable[[], list[PartSummary]],
+        running: Callable[[str], int],
+    ) -> None:
+        self._size, self._book, self._replica, self._catalog = params.size, book, replica, catalog
+        self._summaries, self._running = summaries, running
+        self._teams: dict[str, Team] = {team.name: team for team in params.teams}
+
+    async def submit(self, request: Request) -> Response:
+        try:
+            job = parse_submission(request.body)
+        except Malformed as problem:
+            log.info("event=submission_malformed error=%s", problem)
+            return error(400, str(problem))
+        if not self._replica.ready.done:
+            return come_back("starting")
+        try:
+            known = await self._known(job)
+            if known is not None:
+                return known
+            if not self._catalog:
+                return come_back("machine types are not known yet")
+            problem = self._impossible(job)
+            if problem is not None:
+                # Whoever accepted it may have known better: only a job that nobody knows can be refused.
+                found = await self._book.look_up(job.ref, Urgency.SUBMIT)
+                return error(422, problem) if found is None else self._state_answer(200, job.ref, found)
+            if await self._book.accept(job, split(job, self._summaries(), self._size)):
+                return answer(201, {"ref": job.ref, "condition": "queued"})
+            found = await self._book.look_up(job.ref, Urgency.SUBMIT)
+            return come_back("undecided") if found is None else self._state_answer(200, job.ref, found)
+        except (Unavailable, Unknown, LeaseGone) as trouble:
+            log.info("event=submission_undecided job=%s error=%s", job.ref, trouble)
+            return come_back("the state service can't be reached")
+
+    async def _known(self, job: Submission) -> Response | None:
+        if self._book.final(job.ref) is None and job.ref not in self._book.active:
+            return None
+        found = await self._book.look_up(job.ref, Urgency.SUBMIT)
+        return None if found is None else self._state_answer(200, job.ref, found)
+
+    def _state_answer(self, status: int, ref: str, found: tuple[str, records.JobRecord | None, int]) -> Response:
+        state, record, _ = found
+        return answer(status, self._book.view(ref, state, record, self._running(ref)))
+
+    def _impossible(self, job: Submission) -> str | None:
+        """Why a job can never run, if so."""
+        team = self._teams.get(job.team)
+        if team is None:
+            return f"unknown team {job.team}"
+        need = need_of(job)
+        fitting = [
+            kind
+            for kind in self._catalog.values()
+            if (job.types is None or kind.name in job.types)
+            and (job.zone is None or job.zone in kind.zones)
+            and capacity_of(kind).holds(need)
+        ]
+        if not fitting:
+            return "a task fits no allowed machine type"
+        tasks = job.tasks if job.gang else 1
+        if not Room(team.cpus_max, team.gpus_max).holds(Room(tasks * job.cpus, tasks * job.accelerators)):
+            return "more than the team's limit"
+        return None
+
+    async def poll(self, ref: str) -> Response:
+        if not REF.match(ref):
+            return error(404, "no such job")
+        try:
+            found = await self._book.look_up(ref)
+        except (Unavailable, Unknown) as trouble:
+            log.debug("event=poll_undecided job=%s error=%s", ref, trouble)
+            return come_back("the state service can't be reached")
+        return error(404, "no such job") if found is None else self._state_answer(200, ref, found)
+
+    async def cancel(self, ref: str) -> Response:
+        if not REF.match(ref):
+            return error(404, "no such job")
+        try:
+            state = await self._book.cancel(ref)
+        except (Unavailable, Unknown, LeaseGone) as trouble:
+            log.info("event=cancellation_undecided job=%s error=%s", ref, trouble)
+            return come_back("the state service can't be reached")
+        return error(404, "no such job") if state is None else answer(200, {"ref": ref, "condition": state})
