--- a/tests/standins/day.py
+++ b/tests/standins/day.py
@@ -41,7 +41,7 @@
     return described | changes
 
 
-def settings_of(host: str, state: str, tightest: float = 2.0) -> Settings:
+def settings_of(host: str, state: str, objectives: list[Objective]) -> Settings:
     params = Params(
         size=len(HOSTS),
         zones=["a", "b"],
@@ -50,7 +50,7 @@
         cloud=CloudLimits(rps=6, list_lag_s=2),
         resources=Resources(cpu=0.2, mem_mb=100, fd_limit=600),
         teams=[Team(name, limit / 2, limit) for name, limit in LIMITS.items()],
-        objectives=[Objective("guarantee", 0.9, within_s=tightest)],
+        objectives=[Objective("guarantee", 0.9, within_s=2.0), *objectives],
     )
     siblings = [Sibling(one, "a", f"{one}:8081") for one in HOSTS if one != host]
     platform = PlatformSettings(
@@ -60,14 +60,21 @@
 
 
 class Day:
-    def __init__(self, seed: int = 1, machines: int = 6, capacity: int = 3, kind_cpus: float = 8.0) -> None:
+    def __init__(
+        self,
+        seed: int = 1,
+        machines: int = 6,
+        capacity: int = 3,
+        kind_cpus: float = 8.0,
+        objectives: list[Objective] | None = None,
+    ) -> None:
         self.clock = VirtualClock()
         self.loop = Loop(self.clock, VirtualPoller(self.clock))
         self.world = World(self.loop, seed)
         self.random = self.world.random
         self.group = Group(self.loop, "day")
         self.state = StateService(self.loop, self.world, self.group)
-        self.settings = {host: settings_of(host, self.state.serve(host)) for host in HOSTS}
+        self.settings = {host: settings_of(host, self.state.serve(host), objectives or []) for host in HOSTS}
         kinds = [Kind("k8", kind_cpus, 32.0)]
         self.site = Site(self.world, HOSTS, kinds, ["a", "b"], LIMITS, capacity, timedelta(seconds=36))
         self.rules = self.site.rules
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -6,8 +6,10 @@
 import msgspec
 import pytest
 
+from badgerroute.coordination import outlook
 from badgerroute.coordination.owner import Owner
 from badgerroute.coordination.shares import Shares
+from badgerroute.settings import Objective
 from badgerroute.storage import records
 from tests.standins.day import HOSTS, SECOND, Day, job
 
@@ -561,6 +563,22 @@
     assert day.rules.broken == []
 
 
+@pytest.mark.parametrize(("hungry", "begins"), [(40, True), (3600, False)])
+def test_the_largest_job_begins(hungry: int, begins: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A job of a thousand tasks that can't be in time, in a burst of small ones that can: age wins in the end."""
+    assert 1.5 * outlook.HUNGRY <= 240 * SECOND, "the largest too begin within four minutes"
+    monkeypatch.setattr(outlook, "HUNGRY", hungry * SECOND)
+    day = Day(seed=8, capacity=0, objectives=[Objective("deadline", 0.9, "batch")])
+    day.run(4)
+    day.submit(job("run-big", heads=1000, rank="idle", trek_s=5.0, market_s=30.0))
+    for number in range(30):
+        day.submit(job(f"run-s{number}", heads=30, rank="idle", trek_s=5.0, market_s=60.0), tries=1)
+        day.run(2)
+    tasks = [name for name in (*day.site.finished, *day.rules.on) if name.startswith("run-big/")]
+    assert (len(tasks) >= 40) is begins, "as many as its team's limit permits at once"
+    assert day.rules.broken == []
+
+
 def test_share_moves_only_while_unused(monkeypatch: pytest.MonkeyPatch) -> None:
     """A share that is being given away counts as given before the write is known to be applied."""
     seen: list[tuple[float, float]] = []
