--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -33,6 +33,7 @@
 GOSSIP = timedelta(milliseconds=500)
 FLUSH = timedelta(milliseconds=300)
 STALE = timedelta(seconds=3)
+MOST_GONE = 5000
 UP_PROOF = timedelta(seconds=3)
 HAND_OVER_PAUSE = timedelta(seconds=2)
 RESERVED_SOCKETS = 48  # for the state service, the cloud, the mesh and commands to workers
@@ -77,7 +78,7 @@
         self.siblings: dict[str, Sibling] = {}
         self.users = Users(params, self.book, self.replica, self.catalog, self._summaries, self._running)
         self._flush = Future()
-        self._gone: set[str] = set()  # machines that were deleted
+        self._gone: dict[str, None] = {}  # machines that were deleted, oldest first
         most = max(16, params.resources.fd_limit - RESERVED_SOCKETS - 8 * params.size)
         self._server = Server(loop, group, self._handle, most)
         self.replica.listen(JOBS, self._job_changed)
@@ -156,10 +157,15 @@
 
     def _gone_changed(self, key: str, value: bytes | None, revision: int) -> None:
         if value is not None:
-            self._gone.update(records.read(value, records.GoneRecord).names)
+            self._remember_gone(records.read(value, records.GoneRecord).names)
+
+    def _remember_gone(self, names: list[str]) -> None:
+        self._gone.update(dict.fromkeys(names))
+        while len(self._gone) > MOST_GONE:  # copies come minutes late, not weeks
+            del self._gone[next(iter(self._gone))]
 
     def _machines_gone(self, names: list[str]) -> None:
-        self._gone.update(names)
+        self._remember_gone(names)
         members = {name for owner in self.owners.values() for name in owner.part.machines}
         for number, owner in enumerate(list(self.owners.values())):
             # One that never was a member is remembered by any of our parts.
