Cut off from the state service: parts no longer passed to and fro, nor machines held by answers they drop

Causes, by the logs: - A part was handed to its home controller although that one had no proof of anything: it still named its old lease. The hand-over failed, the part was claimed anew, every 1 to 2 s. Now only to a sibling that says it is proved. - While one routine asked for a higher term, all others that waited with it took it for granted, and the owner answered hundreds of machines in its old term. They dropped the answers and stayed. Now they learn the outcome. - Such an owner was always just asking, so that a sibling's word that it was outranked did not count. Now it does. - Passing gangs on went on after the claim had gone between two writes: the duty failed with a KeyError. - Commands to machines each kept a connection of their own, one to every member. Now a gate lets so many through at a time, by the limit of sockets, and none is kept; halts of gangs go first. - What is remembered of deleted machines was 200 for each part whatever its size: now pages for twice its members. - The replica's keys by prefix are kept, not searched, several times a second.

--- a/badgerroute/coordination/claims.py
+++ b/badgerroute/coordination/claims.py
@@ -50,6 +50,7 @@
         self._started = loop.now()
         self._seen: set[int] = set()  # parts that were held by somebody once
         self._busy: set[int] = set()  # parts with a write of ours on its way
+        self._above: dict[int, int] = {}  # the highest terms in which siblings said that they hold a part
         replica.listen(PARTS, self._part_changed)
         replica.listen(FLEET, self._fleet_changed)
 
@@ -73,8 +74,11 @@
 
     def outranked(self, part: int, term: int) -> None:
         """A sibling says that it holds a part, in a higher term than ours: there is no need to wait for G."""
+        self._above[part] = max(term, self._above.get(part, 0))
         claim = self.parts.get(part)
-        if claim is not None and part not in self._busy and term > claim.term:
+        # Also while a write of ours is on its way: a higher term that we ask for is conditional on the one we had, so
+        # it came before the sibling's, or never. An owner that can't reach the state service is always just asking.
+        if claim is not None and term > claim.term:
             log.warning("event=stood_down part=%d term=%d by=%d", part, claim.term, term)
             self._drop(part)
 
@@ -187,6 +191,8 @@
             self._busy.discard(part)
         if lease != self.lease:  # the lease ended while we waited: so did the claim
             return None
+        if max(self._above.get(part, 0), self._replica.mark(key)) > term:  # so it has, and somebody else came after us
+            return None
         bound = 2 * self._settings.params.time_bound_ms / 1000  # two controllers' times of day
         claim = Claim(term, max(ZERO, timedelta(seconds=until - self._now_of_day() + bound)))
         known = self.parts.get(part)
--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -26,7 +26,7 @@
 from badgerroute.storage.replica import CATALOG, GONE, JOBS, MACHINES, Replica
 from badgerroute.storage.state import Conflicted, LeaseGone, StateClient, Unavailable, Unknown, put, when
 from badgerroute.transport.http import Request, Response, Server
-from badgerroute.transport.loop import Future, Group, Loop
+from badgerroute.transport.loop import Future, Gate, Group, Loop
 from badgerroute.transport.net import Network
 
 log = logging.getLogger("badgerroute.controller")
@@ -36,7 +36,8 @@
 MOST_GONE = 5000
 UP_PROOF = timedelta(seconds=3)
 HAND_OVER_PAUSE = timedelta(seconds=2)
-RESERVED_SOCKETS = 48  # for the state service, the cloud, the mesh and commands to workers
+RESERVED_SOCKETS = 48  # for the state service, the cloud and the mesh
+MOST_DIRECT = 128  # commands on their way to workers, each with a connection of its own
 
 
 class CatalogRecord(msgspec.Struct):
@@ -79,8 +80,12 @@
         self.users = Users(params, self.book, self.replica, self.catalog, self._summaries, self._running)
         self._flush = Future()
         self._gone: dict[str, None] = {}  # machines that were deleted, oldest first
-        most = max(16, params.resources.fd_limit - RESERVED_SOCKETS - 8 * params.size)
-        self._server = Server(loop, group, self._handle, most)
+        sockets = params.resources.fd_limit
+        direct = min(MOST_DIRECT, max(4, sockets // 8))
+        self._gate = Gate(direct)
+        self._server = Server(
+            loop, group, self._handle, max(16, sockets - direct - RESERVED_SOCKETS - 8 * params.size)
+        )
         self.replica.listen(JOBS, self._job_changed)
         self.replica.listen(MACHINES, self._machine_changed)
         self.replica.listen(CATALOG, self._catalog_changed)
@@ -126,6 +131,7 @@
             self.catalog,
             self._push,
             self._progressed,
+            self._gate,
         )
         owner.delete = self.fleet.delete
         owner.ask = self._ask_share
@@ -311,7 +317,10 @@
                 if part == self.settings.home or sibling is None or not self._recent(sibling):
                     continue
                 owner = self.owners.get(part)
-                if sibling.gossip.ready and sibling.gossip.lease and owner is not None and owner.part.settled:
+                # A sibling that has lost the state service still names the lease it once had. Its part was handed to it
+                # again and again, each time given up first and claimed anew, and stood still for as long as the cut.
+                fit = sibling.gossip.ready and sibling.gossip.proved and sibling.gossip.lease
+                if fit and owner is not None and owner.part.settled:
                     await self.claims.hand_over(part, home, sibling.gossip.lease)
 
     async def _idle_duty(self) -> None:
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -35,11 +35,12 @@
     when,
 )
 from badgerroute.transport.http import Client, Unanswered
-from badgerroute.transport.loop import Future, Group, Loop
+from badgerroute.transport.loop import Future, Gate, Group, Loop
 from badgerroute.transport.net import Network
 
 log = logging.getLogger("badgerroute.owner")
 DIRECT_LIMIT = timedelta(seconds=2)
+DIRECT_CONNECT = timedelta(seconds=1)
 FENCE_RETRY = timedelta(milliseconds=700)
 GIVE_UP = timedelta(seconds=3.5)  # a member that is silent for so long after a takeover is deleted at the cloud
 LOST_PATIENCE = timedelta(seconds=4)
@@ -50,7 +51,8 @@
 REGISTER_LIMIT = timedelta(seconds=1)
 MOST_RANGES = 48
 FORGET_AGAIN = timedelta(seconds=1)
-MOST_GONE = 200  # deleted machines that a part remembers
+GONE_PAGE = 100  # deleted machines on a page, which may be written anew for each of them
+GONE_NAME = 64  # bytes that a name may take, at twice a page's length
 PASS_ON_PAUSE = timedelta(seconds=8)  # a gang that was passed on is left where it is for so long
 
 
@@ -73,12 +75,13 @@
         catalog: dict[str, MachineType],
         push: Push,
         progressed: Callable[[], None],
+        gate: Gate,
     ) -> None:
         self.number = number
         self._settings, self._loop, self._network = settings, loop, network
         self._state, self._replica, self._claims = state, replica, claims
         self._book, self._shares, self._catalog = book, shares, catalog
-        self._push, self._progressed = push, progressed
+        self._push, self._progressed, self._gate = push, progressed, gate
         self.group = Group(loop, f"{parent.name}/part-{number}")
         self.objectives = Objectives(settings.params.objectives)
         self.part = Part(
@@ -89,11 +92,12 @@
         self.ready = False
         self.delete: Callable[[list[str]], None] = lambda names: None
         self._window = records.window(settings.params.state.value_kb)
-        self._clients: dict[str, Client] = {}
         self._fencing: set[str] = set()
         self._given_up: set[str] = set()  # neither answers nor commands reach them
         self.registrar = Registrar(loop, self.group, state, replica, push)
         self.progress: set[str] = set()
+        self._most_members = 0
+        self._gone_most = max(1, min(GONE_PAGE, int(settings.params.state.value_kb * 1024) // GONE_NAME))
         self._passed_on: dict[str, timedelta] = {}
         self._summary: tuple[timedelta, mesh_wire.PartSummary] | None = None
         self._borrowing: tuple[str, timedelta] | None = None  # gang, and since when
@@ -156,18 +160,21 @@
         """If most members are silent, the fault is more likely on our side: don't have them all deleted at once."""
         return GIVE_UP if 2 * len(self._fencing) <= len(self.part.machines) + 3 else 5 * GIVE_UP
 
-    def _client(self, machine: Machine) -> Client:
-        client = self._clients.get(machine.name)
-        if client is None:
-            client = self._clients[machine.name] = Client(
-                self._loop, self._network, machine.address, timedelta(seconds=2), 1, timedelta(seconds=1)
-            )
-        return client
+    async def direct(self, machine: Machine, commands: list[Command], urgent: bool = False) -> bool:
+        """Send commands to a machine's own address; never starts, since these may be carried out minutes late.
+
+        Only so many at a time, and nothing stays open: an owner of everything has a thousand members, and every one of
+        them holds a connection to us already.
+        """
+        async with self._gate.place(urgent):
+            client = Client(self._loop, self._network, machine.address, most_idle=1, connect=DIRECT_CONNECT)
+            try:
+                return await self._direct(client, machine, commands)
+            finally:
+                client.drop()
 
-    async def direct(self, machine: Machine, commands: list[Command]) -> bool:
-        """Send commands to a machine's own address; never starts, since these may be carried out minutes late."""
+    async def _direct(self, client: Client, machine: Machine, commands: list[Command]) -> bool:
         commands = [one for one in commands if one.kind != "start"]
-        client = self._client(machine)
         for _ in range(2):
             body = encode(DirectCommands(self.part.term, machine.session, commands))
             try:
@@ -193,21 +200,25 @@
     async def raise_term(self) -> bool:
         """Get a term above the token that some machine has seen elsewhere."""
         if self._raising is not None:
-            await self._loop.first(self._raising, REGISTER_LIMIT)
-            return True
+            # Whoever waits with others must learn how it went. Once they took it for granted, and an owner cut off from
+            # the state service answered hundreds of machines in its old term: they dropped the answers, stayed there
+            # all the same, and their leases ran out.
+            raising = self._raising
+            return await self._loop.first(raising, REGISTER_LIMIT) and raising.result
         self._raising = Future()
+        raised = False
         try:
             term = await self._claims.raise_term(self.number)
         except (Unavailable, Unknown, LeaseGone) as error:
             log.info("event=raise_failed part=%d error=%s", self.number, error)
-            return False
+        else:
+            if term is not None:
+                self.part.term = term
+                raised = True
         finally:
-            self._raising.set()
+            self._raising.set(raised)
             self._raising = None
-        if term is None:
-            return False
-        self.part.term = term
-        return True
+        return raised
 
     # -- what the watch says
 
@@ -218,7 +229,6 @@
         if record is None or record.part != self.number:
             if known is not None:
                 self.part.remove_machine(name, now)
-                self._clients.pop(name, None)
             return
         kind = self._catalog.get(record.type)
         if known is None and kind is not None:
@@ -246,6 +256,8 @@
                 return None
         if report.token > self.part.term and not await self.raise_term():
             return None
+        if report.token > self.part.term:
+            return None  # it would drop the answer, and stay here while its lease runs out
         if not self._claims.acting(self.number) or self.part.machines.get(report.machine) is not machine:
             return None
         if machine.deaf or machine.name in self._given_up:
@@ -392,7 +404,7 @@
         }
         for machine in machines:
             commands = self.part.commands(machine, self._loop.now(), starts=False)
-            self.group.spawn(self.direct(machine, commands), "halt")
+            self.group.spawn(self.direct(machine, commands, urgent=True), "halt")
 
     # -- shares
 
@@ -628,6 +640,8 @@
         return taken
 
     async def _write_steal(self, changes: list[tuple[str, records.JobRecord]], thief: int) -> None:
+        if not self.ready or not self._claims.acting(self.number):
+            return  # the claim went while an earlier write of the same round was on its way
         conditions = [self._claims.condition(self.number)]
         puts = []
         held: list[tuple[Job, int]] = []
@@ -705,13 +719,11 @@
         now = self._loop.now()
         for name in names:
             self.part.remove_machine(name, now)
-            self._clients.pop(name, None)
         self.part.settle()
-        key = f"{GONE}{self.number}"
         while names and self.number in self._claims.parts:
-            batch = names[: self._state.limits.txn_ops - 1]
-            known = records.read(value, GoneRecord).names if (value := self._replica.value(key)) else []
-            gone = records.write(GoneRecord([*known, *(one for one in batch if one not in known)][-MOST_GONE:]))
+            batch = names[: min(self._state.limits.txn_ops - 1, self._gone_most)]
+            key, known = self._gone_page()
+            gone = records.write(GoneRecord([*known, *(one for one in batch if one not in known)]))
             members = [MACHINES + name for name in batch if self._replica.mark(MACHINES + name)]
             changes = [put(key, gone), *(remove(one) for one in members)]
             try:
@@ -725,6 +737,23 @@
                 self._push(one, value, at)
             names = names[len(batch) :]
 
+    def _gone_page(self) -> tuple[str, list[str]]:
+        """Where the next deleted machines are written down, and what stands there.
+
+        A page is small, since each deletion writes one anew; there are pages for twice as many machines as we have ever
+        had at once, and when all are full the oldest begins anew.
+        """
+        prefix = f"{GONE}{self.number}/"
+        pages = sorted(self._replica.under(prefix), key=self._replica.mark)
+        self._most_members = max(self._most_members, len(self.part.machines))
+        if pages:
+            known = records.read(self._replica.value(pages[-1]), GoneRecord).names
+            if len(known) < self._gone_most:
+                return pages[-1], known
+        if len(pages) < max(4, -(-2 * self._most_members // self._gone_most)):
+            return f"{prefix}{len(pages)}", []
+        return pages[0], []
+
     def batch(self) -> list[Progress]:
         """Newly done tasks to be written down: at once if they may be the job's last, else once in a while."""
         found = []
--- a/badgerroute/storage/replica.py
+++ b/badgerroute/storage/replica.py
@@ -31,10 +31,15 @@
 Listener = Callable[[str, bytes | None, int], None]
 
 
+def _prefix(key: str) -> str:
+    return key[: key.rfind("/") + 1]
+
+
 class Replica:
     def __init__(self, loop: Loop, state: StateClient) -> None:
         self._loop, self._state = loop, state
         self.items: dict[str, tuple[bytes, int]] = {}
+        self._under: dict[str, dict[str, None]] = {}
         self._gone: dict[str, int] = {}  # removals that the watch has not covered yet
         self.revision = 0
         self.ready = Future()
@@ -55,7 +60,12 @@
         return item[0] if item else None
 
     def under(self, prefix: str) -> list[str]:
-        return [key for key in self.items if key.startswith(prefix)]
+        """The keys right under a prefix that ends in a slash. Asked for several times a second."""
+        return list(self._under.get(prefix, ()))
+
+    def _drop(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self._under[_prefix(key)].pop(key, None)
 
     def learn(self, key: str, value: bytes | None, revision: int) -> None:
         """Take in a change known from elsewhere than the watch.
@@ -70,14 +80,16 @@
         if revision <= self.mark(key) or revision <= self._gone.get(key, 0):
             return
         if value is None:
-            self.items.pop(key, None)
+            self._drop(key)
             self._gone[key] = revision
         else:
+            if key not in self.items:
+                self._under.setdefault(_prefix(key), {})[key] = None
             self.items[key] = (value, revision)
             self._gone.pop(key, None)
         self._notify(key, value, revision)
         if key.startswith(PAST):
-            self.items.pop(key, None)
+            self._drop(key)
 
     def _notify(self, key: str, value: bytes | None, revision: int) -> None:
         for prefix, listener in self._listeners:
@@ -117,7 +129,7 @@
                 fresh[item.key] = (bytes(item.value), item.revision)
         assert revision is not None
         for key in [key for key, (_, mark) in self.items.items() if key not in fresh and mark <= revision]:
-            self.items.pop(key)  # it went while nobody watched
+            self._drop(key)  # it went while nobody watched
             self._notify(key, None, revision)
         for key, (value, mark) in fresh.items():
             self._apply(key, value, mark)
--- a/badgerroute/transport/loop.py
+++ b/badgerroute/transport/loop.py
@@ -8,7 +8,8 @@
 import logging
 import selectors
 from collections import deque
-from collections.abc import Callable, Coroutine, Generator
+from collections.abc import AsyncIterator, Callable, Coroutine, Generator
+from contextlib import asynccontextmanager
 from datetime import timedelta
 from typing import Any, Protocol
 
@@ -304,6 +305,43 @@
         return main.result
 
 
+class Gate:
+    """Lets so many routines through at a time; the others wait, urgent ones first, then in order."""
+
+    def __init__(self, places: int) -> None:
+        self.free = places
+        self._waiting: list[tuple[bool, int, Future]] = []
+        self._order = itertools.count()
+
+    @asynccontextmanager
+    async def place(self, urgent: bool = False) -> AsyncIterator[None]:
+        if self.free > 0:
+            self.free -= 1
+        else:
+            turn = Future()
+            heapq.heappush(self._waiting, (not urgent, next(self._order), turn))
+            try:
+                await turn
+            except BaseException:
+                if turn.done:  # cancelled just as its turn came
+                    self._leave()
+                else:
+                    turn.set()  # whoever leaves next skips it
+                raise
+        try:
+            yield
+        finally:
+            self._leave()
+
+    def _leave(self) -> None:
+        while self._waiting:
+            turn = heapq.heappop(self._waiting)[2]
+            if not turn.done:
+                turn.set()
+                return
+        self.free += 1
+
+
 class Group:
     """Routines that live and end together, for instance all those of one controller."""
 
--- a/tests/standins/day.py
+++ b/tests/standins/day.py
@@ -1,7 +1,7 @@
 """A whole day in virtual time: controllers, stand-ins, users that check what they are told, and faults."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
 
 from badgerroute.coordination.controller import Controller
@@ -21,7 +21,7 @@
 )
 from badgerroute.transport.clock import VirtualClock
 from badgerroute.transport.http import Client, Response, Unanswered
-from badgerroute.transport.loop import Group, Loop, VirtualPoller
+from badgerroute.transport.loop import Group, Loop, Routine, VirtualPoller
 from tests.standins.net import World
 from tests.standins.state import StateService
 from tests.standins.workers import Kind, Site
@@ -59,6 +59,41 @@
     return Settings(platform, OperatorSettings())
 
 
+class FreezableRoutine(Routine):
+    """Does not step while its host stands still; what woke it meanwhile is seen afterwards, all at once."""
+
+    __slots__ = ()
+
+    def step(self) -> None:
+        if self.loop.frozen and self.name.partition("/")[0] in self.loop.frozen:
+            self.loop.parked.append(self)
+        else:
+            super().step()
+
+
+class DayLoop(Loop):
+    """A loop on which one host's routines can stand still while the clocks run on."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        super().__init__(clock, VirtualPoller(clock))
+        self.frozen: set[str] = set()
+        self.parked: list[Routine] = []
+
+    def spawn(self, coro: Coroutine, name: str) -> Routine:
+        routine = FreezableRoutine(self, coro, name)
+        routine.schedule()
+        return routine
+
+    def freeze(self, host: str, seconds: float) -> None:
+        self.frozen.add(host)
+        self.later(timedelta(seconds=seconds), lambda: self._thaw(host))
+
+    def _thaw(self, host: str) -> None:
+        self.frozen.discard(host)
+        parked, self.parked = self.parked, []
+        self.ready.extend(parked)
+
+
 class Day:
     def __init__(
         self,
@@ -69,7 +104,7 @@
         objectives: list[Objective] | None = None,
     ) -> None:
         self.clock = VirtualClock()
-        self.loop = Loop(self.clock, VirtualPoller(self.clock))
+        self.loop = DayLoop(self.clock)
         self.world = World(self.loop, seed)
         self.random = self.world.random
         self.group = Group(self.loop, "day")
@@ -112,6 +147,13 @@
             self.crash(host)
             self.loop.later(after, lambda: self.start(host))
 
+    def sockets(self, host: str) -> int:
+        """Connections that a host holds open now, either way."""
+        return sum(
+            (source == host and not near.closed) or (target == host and not far.closed)
+            for source, target, near, far in self.world.streams
+        )
+
     # -- time
 
     def run(self, seconds: float) -> None:
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -282,6 +282,27 @@
         day.restart(host, SECOND / 10)
 
 
+def frozen(seconds: float, hosts: int = 1) -> Callable[[Day], None]:
+    """Controllers stand still while their clocks run on, then go on with what they had in hand."""
+
+    def fault(day: Day) -> None:
+        for host in day.random.sample(HOSTS, hosts):
+            day.loop.freeze(host, seconds)
+        day.run(seconds + 3)
+
+    return fault
+
+
+def frozen_in_takeover(day: Day) -> None:
+    """The new owner of a dead controller's part stands still in the midst of it."""
+    dead, heir = day.random.sample(HOSTS, 2)
+    day.restart(dead, 30 * SECOND)
+    for _ in range(3):
+        day.run(day.random.uniform(3.9, 4.6))
+        day.loop.freeze(heir, 6)
+        day.run(6.5)
+
+
 def lost_answers(day: Day) -> None:
     """Transactions are carried out, but nobody hears of it."""
     for _ in range(5):
@@ -343,6 +364,10 @@
     "siblings_refuse": siblings_refuse,
     "slow_state": slow_state,
     "crash_in_election": crash_in_election,
+    "frozen_for_a_lease": frozen(7),
+    "frozen_for_long": frozen(30),
+    "two_frozen": frozen(14, hosts=2),
+    "frozen_in_takeover": frozen_in_takeover,
     "machines_vanish": machines_vanish,
     "sick_machine": sick_machine,
     "spot_notice": spot_notice,
@@ -441,7 +466,7 @@
     """An owner that sends starts to a machine's own address."""
     real = Owner.direct
 
-    async def direct(self: Owner, machine: object, commands: list) -> bool:
+    async def direct(self: Owner, machine: object, commands: list, urgent: bool = False) -> bool:
         for placement in machine.placements.values():
             placement.phase = placement.phase.RESERVED
         return await real(self, machine, Sneaky(self.part.commands(machine, self._loop.now(), starts=True)))
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,161 @@
+"""What shows only where there are many machines: sockets, memory of what is gone, whole parts changing hands."""
+
+from datetime import timedelta
+
+import pytest
+
+from badgerroute.coordination import controller as controller_module
+from badgerroute.coordination import owner as owner_module
+from badgerroute.coordination.owner import Owner
+from badgerroute.protocol.workers import Report, ReportAnswer
+from badgerroute.storage import records
+from badgerroute.transport.clock import VirtualClock
+from badgerroute.transport.loop import Cancelled, Gate, Loop
+from tests.standins.day import HOSTS, SECOND, Day, DayLoop, job
+from tests.standins.net import HostNetwork, VirtualStream
+
+
+def cut_from_state(day: Day, host: str) -> None:
+    day.world.cut(host, f"state-{host}", "hold")
+
+
+def owners(day: Day, part: int) -> list[str]:
+    return [host for host, (one, _) in day.controllers.items() if part in one.owners]
+
+
+def test_a_part_is_not_handed_to_a_sibling_without_the_state_service() -> None:
+    """It still speaks to its siblings, and names the lease that it had."""
+    day = Day(seed=1)
+    day.run(5)
+    host = HOSTS[1]
+    cut_from_state(day, host)
+    terms = set()
+    for _ in range(50):
+        day.run(0.5)
+        key = day.state.items.get("b/parts/1")
+        terms.add(key[1] if key else 0)
+    assert len(terms - {0}) == 2, "the part changes hands once"
+    day.world.heal(host, f"state-{host}")
+    day.run(15)
+    assert owners(day, 1) == [host], "and goes home when its controller is back"
+
+
+def test_no_answer_that_a_machine_must_drop(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An owner that can't raise its term says so: a 200 would hold the machine there while its lease runs out."""
+    answered: list[bool] = []
+    real = Owner.checkin
+
+    async def checkin(self: Owner, report: Report) -> ReportAnswer | None:
+        answer = await real(self, report)
+        if answer is not None:
+            answered.append(answer.token >= report.token)
+        return answer
+
+    monkeypatch.setattr(Owner, "checkin", checkin)
+    day = Day(seed=2, machines=24)
+    day.run(5)
+    for host in HOSTS[:2]:
+        cut_from_state(day, host)
+    for one in HOSTS:
+        for other in HOSTS:
+            if one < other:
+                day.world.cut(one, other, "reset")  # nor can a sibling tell them that they are outranked
+    day.run(30)
+    assert len(answered) > 300 and all(answered)
+    assert day.rules.broken == []
+
+
+def test_an_outranked_owner_stands_down_while_it_asks_for_a_higher_term() -> None:
+    day = Day(seed=3)
+    day.run(5)
+    claims = day.controllers[HOSTS[0]][0].claims
+    term = claims.parts[0].term
+    claims._busy.add(0)
+    claims.outranked(0, term)
+    assert 0 in claims.parts, "its own term is no news"
+    claims.outranked(0, term + 5)
+    assert 0 not in claims.parts
+
+
+def test_an_owner_that_lost_its_claim_gives_nothing_away(caplog: pytest.LogCaptureFixture) -> None:
+    """The claim may go while an earlier write of the same round is on its way."""
+    day = Day(seed=4)
+    day.run(5)
+    day.submit(job("run-a", heads=40, trek_s=30.0))
+    day.run(2)
+    controller = day.controllers[HOSTS[0]][0]
+    owner = controller.owners[0]
+    record = controller.book.active["run-a"]
+    controller.claims._drop(0)
+    day.loop.run(day.loop.spawn(owner._write_steal([("run-a", record)], 1), "give"))
+    assert day.finish() == []
+
+
+def test_commands_to_machines_share_few_sockets(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One controller takes over all parts: a connection to each member at once would leave none for anybody else."""
+    monkeypatch.setattr(controller_module, "MOST_DIRECT", 8)
+    day = Day(seed=5, machines=60)
+    day.run(6)
+    for host in HOSTS[1:]:
+        day.restart(host, 60 * SECOND)
+    seen: list[int] = []
+    real = HostNetwork.connect
+
+    async def connect(self: HostNetwork, address: str, limit: timedelta) -> VirtualStream:
+        stream = await real(self, address, limit)
+        streams = [one for one in day.world.streams if one[0] == HOSTS[0] and one[1].startswith("host-")]
+        seen.append(sum(not near.closed for _, _, near, _ in streams))
+        return stream
+
+    monkeypatch.setattr(HostNetwork, "connect", connect)
+    day.run(8)
+    heir = day.controllers[HOSTS[0]][0]
+    assert all(one.part.settled for one in heir.owners.values()) and len(heir.owners) == 3
+    assert 4 < max(seen) <= 8
+    assert day.sockets(HOSTS[0]) <= 60 + 20, "and none is kept"
+
+
+def test_gate() -> None:
+    clock = VirtualClock()
+    loop: Loop = DayLoop(clock)
+    gate = Gate(2)
+    came: list[str] = []
+
+    async def visit(name: str, urgent: bool = False) -> None:
+        async with gate.place(urgent):
+            came.append(name)
+            await loop.sleep(SECOND)
+
+    routines = [loop.spawn(visit(name), name) for name in "abcd"]
+    routines.append(loop.spawn(visit("u", urgent=True), "u"))
+
+    def run(seconds: float) -> None:
+        loop.run(loop.spawn(loop.sleep(timedelta(seconds=seconds)), "run"))
+
+    run(0.5)
+    assert came == ["a", "b"]
+    routines[2].cancel()  # it waits, and no longer wants to
+    run(1)
+    assert came == ["a", "b", "u", "d"], "urgent ones first, then in order"
+    run(3)
+    assert gate.free == 2
+    assert isinstance(routines[2].error, Cancelled)
+
+
+@pytest.mark.parametrize(("members", "deleted"), [(4, 30), (40, 300)])
+def test_memory_of_deleted_machines_follows_the_fleet(
+    members: int, deleted: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(owner_module, "GONE_PAGE", 10)
+    day = Day(seed=6, machines=3 * members, capacity=0)
+    day.run(8)
+    owner = day.controllers[HOSTS[0]][0].owners[0]
+    names = [f"host-9{number:05d}" for number in range(deleted)]
+    day.loop.run(day.loop.spawn(owner.forget_machines(names), "forget"))
+    day.run(2)
+    pages = {key: value[0] for key, value in day.state.items.items() if key.startswith("b/gone/0/")}
+    kept = {name for page in pages.values() for name in page["names"]}
+    assert len(kept) >= min(deleted, 2 * members), "twice as many as it ever had"
+    assert set(names[-2 * members :]) <= kept, "the latest"
+    assert len(kept) <= max(40, 2 * members + 10) + 16, "and not without bound"
+    assert records.GoneRecord(list(kept)).names
