Gang tasks that waited too long wait on; machines are lent for a gang in its zone

Now such a task is cleared and started again in the same answer, with the same number, as the protocol provides, as long as the gang is whole and nothing of it runs or stops. Its end and its start have one number, so only a later report settles which it was, and clears go out in answers to reports only.

Found by the test for it: a gang that must lie in one zone counted room in all zones as its own, asked nobody for machines, and waited for ever. Room is counted by zone now, and machines are asked for in the zone that has most.

--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import msgspec
+
 from badgerroute.coordination import summary
 from badgerroute.coordination.claims import Claim, Claims
 from badgerroute.coordination.fleet import rents_ahead
@@ -471,7 +473,7 @@
             if record is None:
                 continue
             if not options:
-                self._borrow(job, now)
+                self._borrow(job, now, others)
                 continue
             target = min(options, key=lambda one: (sum(want.gang for want in one.wants), one.part))
             self._passed_on = {ref: at for ref, at in self._passed_on.items() if now - at < PASS_ON_PAUSE}
@@ -481,17 +483,26 @@
             log.info("event=gang_passed_on job=%s from=%d to=%d", job.ref, self.number, target.part)
             await self._write_steal([(job.ref, moved)], target.part)
 
-    def _borrow(self, job: Job, now: timedelta) -> None:
+    def _borrow(self, job: Job, now: timedelta, others: list[mesh_wire.PartSummary]) -> None:
         """No part could hold the gang: gather empty machines here until it fits."""
-        here = 0
+        here: Counter[str] = Counter()  # by zone, if it must lie in one
         for machine, room in self.planner.room_without(job.level):
             if allows(job.spec, machine.kind.name, machine.zone, machine.spot):
-                here += room.times(job.need)
-        here += sum(one.held_for == job.ref for one in self.part.machines.values())
-        if here < job.spec.tasks and self.part.fits_share(job, job.spec.tasks) >= job.spec.tasks:
+                here[machine.zone if job.spec.together else ""] += room.times(job.need)
+        for machine in self.part.machines.values():
+            if machine.held_for == job.ref:
+                here[machine.zone if job.spec.together else ""] += 1
+        whole = here + sum((self._slots(job, one.bins) for one in others), Counter())
+        if not whole:
+            return
+        # Room in two zones is no room for a gang that must lie in one: such a gang once waited for ever.
+        zone = max(sorted(whole), key=lambda one: (min(job.spec.tasks, whole[one]), here[one]))
+        lacking = job.spec.tasks - here[zone]
+        if lacking > 0 and self.part.fits_share(job, job.spec.tasks) >= job.spec.tasks:
             self._borrowing = (job.ref, now)
             self._passed_on[job.ref] = now
-            self.borrow(mesh_wire.Borrow(self.number, job.spec, job.spec.tasks - here))
+            spec = msgspec.structs.replace(job.spec, zone=zone) if zone else job.spec
+            self.borrow(mesh_wire.Borrow(self.number, spec, lacking))
 
     async def lend(self, message: mesh_wire.Borrow) -> None:
         """Give empty machines to a part that is too small for a gang, in one conditional write.
@@ -558,14 +569,17 @@
                 await self._loop.sleep(timedelta(milliseconds=500))
 
     @staticmethod
-    def _holds(job: Job, bins: list[mesh_wire.Bin]) -> bool:
-        slots: dict[str, int] = {}
+    def _slots(job: Job, bins: list[mesh_wire.Bin]) -> Counter[str]:
+        """How many of a job's tasks fit there: by zone, if they must lie in one."""
+        slots: Counter[str] = Counter()
         for one in bins:
             if allows(job.spec, one.type, one.zone, one.spot):
                 room = Room(one.cpus, one.accelerators, one.memory_gb)
-                zone = one.zone if job.spec.together else ""
-                slots[zone] = slots.get(zone, 0) + one.count * room.times(job.need)
-        return max(slots.values(), default=0) >= job.spec.tasks
+                slots[one.zone if job.spec.together else ""] += one.count * room.times(job.need)
+        return slots
+
+    def _holds(self, job: Job, bins: list[mesh_wire.Bin]) -> bool:
+        return max(self._slots(job, bins).values(), default=0) >= job.spec.tasks
 
     async def on_steal(self, message: mesh_wire.Steal) -> None:
         """An idle part wants work: give it tasks that wait here and fit there, in one conditional write."""
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -27,6 +27,7 @@
 SICK_JOBS = 2  # so many different jobs failing on a machine make it suspect
 SICK_TRIES = 3
 UNTAKEN = 2  # one answer may be lost on its way
+MOST_REJOINS = 12  # a gang one of whose machines has no image by then is placed anew
 BACKOFF = timedelta(seconds=2)
 MOST_BACKOFF = timedelta(seconds=60)
 
@@ -278,7 +279,7 @@
             ref, index = split_task(task.task)
             if task.state == "exited":
                 # Ends come first: a refused start must not make a task look free that an older attempt runs.
-                self._exited(machine, ref, index, task, events, now)
+                self._exited(machine, ref, index, task, events, now, report, checkin)
             else:
                 present.append((ref, index, task))
         seen: set[tuple[str, int]] = set()
@@ -366,22 +367,55 @@
                 self.stop_gang(job, ZERO)
         return placement
 
-    def _exited(self, machine: Machine, ref: str, index: int, task: TaskReport, events: Events, now: timedelta) -> None:
+    def _exited(
+        self,
+        machine: Machine,
+        ref: str,
+        index: int,
+        task: TaskReport,
+        events: Events,
+        now: timedelta,
+        report: Report,
+        checkin: bool,
+    ) -> None:
         machine.exited.add((ref, index, task.attempt))
         placement = machine.placements.get((ref, index))
         if placement is not None and (placement.attempt != task.attempt or placement.phase is Phase.RESERVED):
             placement = None  # an older attempt's end says nothing about this one
+        elif placement is not None and placement.phase is Phase.SENT and placement.rejoined:
+            # It carries the number of the attempt that ended. Only a later report tells the two apart.
+            if not self._settles(placement, report, checkin):
+                machine.listed = None
+                return
         job = self.jobs.get(ref)
         if job is None:
             return
         cause = task.cause or ""
         if cause == "done":
             self._finished(machine, job, index, placement, events, now)
+        elif placement is not None and cause == "alone" and self._may_rejoin(placement):
+            # The others may still be fetching the image, which takes longer than a task waits for its gang where images
+            # are large or machines slow. Stopping them all gave those fetches up, and gangs began anew up to 16 times.
+            placement.phase, placement.sent = Phase.RESERVED, None
+            placement.rejoined += 1
         elif placement is not None:
             events.freed = True
             self._failed(machine, job, placement, cause, events, now)
             self.release(placement, now)
 
+    @staticmethod
+    def _may_rejoin(placement: Placement) -> bool:
+        """Whether a gang task that has waited too long may go on waiting: started again, with the same number."""
+        job = placement.job
+        return (
+            job.gang
+            and len(job.placed) == job.spec.tasks  # else it waits for nobody
+            and placement.rejoined < MOST_REJOINS
+            and placement.machine.usable
+            and placement.attempt == job.gang_attempt
+            and not any(one.stopping or one.running_since is not None for one in job.placed.values())
+        )
+
     def _finished(
         self, machine: Machine, job: Job, index: int, placement: Placement | None, events: Events, now: timedelta
     ) -> None:
@@ -437,7 +471,8 @@
         for ref, index, attempt in machine.strays:
             found.append(Command("halt", f"{ref}/{index}", attempt, 0.0))
         for ref, index, attempt in machine.exited:
-            if self._clearable(ref, index):
+            # Not by a direct command: carried out late, it would clear the end of a task that was started again.
+            if starts and self._clearable(ref, index):
                 found.append(Command("clear", f"{ref}/{index}", attempt))
         for placement in machine.placements.values():
             if placement.grace is not None:
@@ -455,7 +490,8 @@
                 placement.phase = Phase.SENT
                 machine.listed = None  # the next list matters even if it is the same
                 placement.sent = (machine.session, machine.seq)
-                placement.since = now
+                if not placement.rejoined:
+                    placement.since = now
                 machine.touch_image(placement.job.spec.image, placement.job.spec.image_gb)
                 found.append(Command("start", f"{placement.job.ref}/{placement.index}", placement.attempt))
         return found
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,5 +1,6 @@
 """Tables of cases for the pure core and the records."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 import pytest
@@ -311,6 +312,83 @@
     assert target.usage["blue"].cpus == (2.0 if still_placed else 0.0)
 
 
+def waiting_gang(target: Part, placed: int = 2) -> Job:
+    """The first task waits beside its image, the second still fetches it."""
+    gang = add(target, submission("run-g", kind="group", tasks=2))
+    gang.gang_attempt = 99
+    for index, phase in list(enumerate((Phase.WAITING, Phase.FETCHING)))[:placed]:
+        target.place(gang, index, 99, target.machines[f"host-{index}"], timedelta(0), phase)
+    return gang
+
+
+ALONE = TaskReport("run-g/0", 99, "exited", "alone")
+
+
+def set_running(gang: Job) -> None:
+    gang.placed[1].running_since = S
+
+
+def set_stopping(gang: Job) -> None:
+    gang.placed[1].grace = timedelta(0)
+
+
+def set_tired(gang: Job) -> None:
+    gang.placed[0].rejoined = 1000
+
+
+def set_draining(gang: Job) -> None:
+    gang.placed[0].machine.draining = True
+
+
+@pytest.mark.parametrize(
+    ("placed", "change", "commands"),
+    [
+        (2, lambda gang: None, ["clear", "start"]),  # it goes on waiting, and the fetch goes on
+        (1, lambda gang: None, ["clear"]),  # there is no second task to wait for
+        (2, set_running, ["clear"]),
+        (2, set_stopping, ["clear"]),
+        (2, set_tired, ["clear"]),
+        (2, set_draining, ["clear"]),
+    ],
+)
+def test_a_gang_task_that_waited_too_long_waits_on(placed: int, change: Callable, commands: list[str]) -> None:
+    target = part(2)
+    gang = waiting_gang(target, placed)
+    change(gang)
+    machine = target.machines["host-0"]
+    target.on_report(machine, report(1, [ALONE]), True, 30 * S)
+    assert target.commands(machine, 30 * S, starts=False) == [], "clears and starts go out in answers to reports only"
+    sent = target.commands(machine, 30 * S, starts=True)
+    assert [one.kind for one in sent] == commands
+    assert {one.attempt for one in sent} == {99}
+    if "start" in commands:
+        assert not gang.placed[1].stopping
+        assert target.usage["blue"].cpus == 4.0, "it counts as on its machine all the time"
+    else:
+        assert 0 not in gang.placed and all(one.stopping for one in gang.placed.values())
+
+
+@pytest.mark.parametrize(
+    ("seq", "checkin", "task", "commands"),
+    [
+        (2, False, ALONE, []),  # may be older than the answer that carried the start
+        (2, True, ALONE, ["clear", "start"]),  # the answer was lost, or it has waited once more
+        (2, True, TaskReport("run-g/0", 99, "waiting"), []),
+        (1, True, ALONE, []),
+    ],
+)
+def test_the_end_of_a_task_that_was_started_again(seq: int, checkin: bool, task: TaskReport, commands: list) -> None:
+    """Both attempts have one number: what ended must not be taken for what was started since."""
+    target = part(2)
+    gang = waiting_gang(target)
+    machine = target.machines["host-0"]
+    target.on_report(machine, report(1, [ALONE]), True, 30 * S)
+    target.commands(machine, 30 * S, starts=True)
+    fresh = target.on_report(machine, report(seq, [task]), checkin, 31 * S)
+    assert 0 in gang.placed, "it may be on its machine"
+    assert [one.kind for one in target.commands(machine, 31 * S, starts=True) if fresh and checkin] == commands
+
+
 def test_done_is_cleared_only_when_durable() -> None:
     target = part(1)
     job = started(target)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -520,6 +520,19 @@
     assert day.rules.broken == []
 
 
+def test_a_gang_is_not_begun_anew_while_its_image_is_fetched() -> None:
+    """One machine caches the image, the other fetches it for longer than a gang task waits."""
+    day = Day(seed=9, machines=4, capacity=0)
+    day.run(5)
+    day.submit(job("run-a", heads=1, cpus=8.0, trek_s=1.0, brand="img-x", image_gb=20.0, pasture="a"))
+    assert day.finish() == []
+    day.submit(job("run-g", gait="group", heads=2, cpus=8.0, trek_s=5.0, brand="img-x", image_gb=100.0, together=True))
+    began = day.loop.now()
+    assert day.finish(400) == []
+    assert day.loop.now() - began < 120 * SECOND, "one fetch of 100 s, a run of 5 s"
+    assert day.rules.broken == []
+
+
 def test_gang_starts_in_the_answer_to_the_report_that_frees_its_machine() -> None:
     day = Day(seed=4, machines=3, capacity=1)
     day.run(30)
