--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -137,6 +137,7 @@
     exited: set[tuple[str, int, int]] = field(default_factory=set)  # reported as exited, not cleared yet
     strays: set[tuple[str, int, int]] = field(default_factory=set)  # on it, but none of ours: to be halted
     images: dict[str, float] = field(default_factory=dict)  # image -> GB, least recently used first
+    complete: set[str] = field(default_factory=set)  # those of them that a task was seen to have got
     failed_jobs: dict[str, int] = field(default_factory=dict)
     held_for: str | None = None  # job that room was made for here
     held_until: timedelta | None = None
@@ -161,6 +162,16 @@
         while total > self.kind.cache_gb and len(self.images) > 1:
             oldest = next(iter(self.images))
             total -= self.images.pop(oldest)
+            self.complete.discard(oldest)
+
+    def forget_image(self, image: str) -> None:
+        """A task that waited for an image is gone: if no other waits for it, the machine has given the fetch up.
+
+        Machines were once taken to cache what they had only begun to fetch, and gangs went there for it in vain.
+        """
+        if image not in self.complete and image in self.images:
+            if all(one.job.spec.image != image for one in self.placements.values()):
+                del self.images[image]
 
 
 @dataclass(slots=True, eq=False)
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -23,6 +23,7 @@
     "running": Phase.RUNNING,
     "flushing": Phase.SAVING,
 }
+WITH_IMAGE = frozenset({"done", "alone"})  # ends of tasks that had got their image
 ATTEMPT_BITS = 24
 SICK_JOBS = 2  # so many different jobs failing on a machine make it suspect
 SICK_TRIES = 3
@@ -202,6 +203,7 @@
         machine.free.add(job.need)
         machine.held[job.level].take(job.need)
         machine.leaving -= placement.stopping
+        machine.forget_image(job.spec.image)
         job.unplace(placement.index)
         used = self.usage[job.spec.team]
         used.tasks -= 1
@@ -349,6 +351,8 @@
         if placement.phase is not phase:
             placement.phase = phase
         machine.touch_image(placement.job.spec.image, placement.job.spec.image_gb)
+        if phase is not Phase.FETCHING:
+            machine.complete.add(placement.job.spec.image)
 
     def _adopt(
         self, machine: Machine, ref: str, index: int, task: TaskReport, phase: Phase, now: timedelta
@@ -391,6 +395,8 @@
         if job is None:
             return
         cause = task.cause or ""
+        if cause in WITH_IMAGE and job.spec.image in machine.images:
+            machine.complete.add(job.spec.image)
         if cause == "done":
             self._finished(machine, job, index, placement, events, now)
         elif placement is not None and cause == "alone" and self._may_rejoin(placement):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -389,6 +389,29 @@
     assert [one.kind for one in target.commands(machine, 31 * S, starts=True) if fresh and checkin] == commands
 
 
+@pytest.mark.parametrize(
+    ("seen", "mate", "cached"),
+    [
+        ([], False, False),  # stopped before it was ever seen
+        ([TaskReport("run-1/0", 99, "fetching")], False, False),  # the fetch is given up
+        ([TaskReport("run-1/0", 99, "fetching")], True, True),  # another task still waits for it
+        ([TaskReport("run-1/0", 99, "fetching"), RUNNING], False, True),
+        ([TaskReport("run-1/0", 99, "fetching"), TaskReport("run-1/0", 99, "exited", "done")], False, True),
+    ],
+)
+def test_an_image_is_cached_once_a_task_has_it(seen: list[TaskReport], mate: bool, cached: bool) -> None:
+    target = part(1)
+    started(target)
+    machine = target.machines["host-0"]
+    if mate:
+        target.place(add(target, submission("run-2", tasks=1)), 0, 98, machine, 1 * S, Phase.SENT)
+    for seq, task in enumerate(seen, 2):
+        target.on_report(machine, report(seq, [task]), True, seq * S)
+    assert "img-1" in machine.images, "on its way, or there"
+    target.on_report(machine, report(10, [TaskReport("run-1/0", 99, "exited", "stopped")]), True, 10 * S)
+    assert ("img-1" in machine.images) is cached
+
+
 def test_done_is_cleared_only_when_durable() -> None:
     target = part(1)
     job = started(target)
