Only an owner that is certain of its claim has machines deleted

Cause, by reading for "a frozen controller acts on nothing it knew before": within G an owner that stood still, or was cut off, may go on with its tasks, since whoever comes after it waits for that; but it also went on deleting machines that it had thought idle or lost, which a new owner may use by then. No rule would break, but work is lost. Deletions now wait for a proof younger than the lease, and what a part lost is taken off the list. Tests: test_only_an_owner_that_is_certain_deletes_machines, both cases fail without the change.

--- a/badgerroute/coordination/claims.py
+++ b/badgerroute/coordination/claims.py
@@ -72,6 +72,13 @@
         """Whether what we know of the state service is recent enough to act on: docs/safety.md, G."""
         return self._loop.now() - self.proved < self._grace
 
+    def certain(self) -> bool:
+        """Whether nobody else can hold what we hold even now: our lease can't have ended since the last proof.
+
+        Within G we may still act, since whoever comes after us waits for it; but not destroy what may be theirs by now.
+        """
+        return self._loop.now() - self.proved < self._settings.operator.claims.ttl
+
     def outranked(self, part: int, term: int) -> None:
         """A sibling says that it holds a part, in a higher term than ours: there is no need to wait for G."""
         self._above[part] = max(term, self._above.get(part, 0))
--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -143,6 +143,7 @@
         owner = self.owners.pop(part, None)
         if owner is not None:
             log.info("event=part_lost part=%d", part)
+            self.fleet.spare(owner.part.machines)
             owner.close()
 
     def _condition(self, part: int) -> Condition | None:
--- a/badgerroute/coordination/fleet.py
+++ b/badgerroute/coordination/fleet.py
@@ -1,7 +1,7 @@
 """The fleet: renting what is needed, deleting what is not. One controller rents; each owner deletes its members."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -77,11 +77,17 @@
         for name in names:
             self._to_delete.setdefault(name, self._loop.now())
 
+    def spare(self, names: Iterable[str]) -> None:
+        """These machines are somebody else's now, who decides about them."""
+        for name in names:
+            self._to_delete.pop(name, None)
+
     async def delete_duty(self) -> None:
         while True:
             await self._loop.sleep(timedelta(milliseconds=200))
             names = list(self._to_delete)[:MOST_DELETED]
-            if not names:
+            # A controller that stood still, or was cut off, once deleted machines that a new owner used by then.
+            if not names or not self._claims.certain():
                 continue
             try:
                 await self._cloud.delete(names)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -91,6 +91,36 @@
     assert day.finish() == []
 
 
+@pytest.mark.parametrize("trouble", ["cut", "frozen"])
+def test_only_an_owner_that_is_certain_deletes_machines(trouble: str) -> None:
+    """It decided before it stood still or was cut off; by now the machine may be a new owner's."""
+    day = Day(seed=10)
+    day.run(5)
+    host = HOSTS[0]
+    controller = day.controllers[host][0]
+    name = next(iter(controller.owners[0].part.machines))
+    if trouble == "cut":
+        others = [f"state-{host}", *HOSTS[1:]]
+        for other in others:
+            day.world.cut(host, other, "hold")
+        day.run(6)
+        assert 0 in controller.owners, "it acts on for G"
+        controller.fleet.delete([name])
+        day.run(5)
+        assert name in day.site.workers
+        for other in others:
+            day.world.heal(host, other)
+    else:
+        controller.fleet.delete([name])
+        day.loop.freeze(host, 12)
+        day.run(13)
+    day.run(20)
+    assert name in day.site.workers, "it was a new owner's to decide about"
+    controller.fleet.delete([name])
+    day.run(3)
+    assert name not in day.site.workers
+
+
 def test_commands_to_machines_share_few_sockets(monkeypatch: pytest.MonkeyPatch) -> None:
     """One controller takes over all parts: a connection to each member at once would leave none for anybody else."""
     monkeypatch.setattr(controller_module, "MOST_DIRECT", 8)
