--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -398,7 +398,8 @@
     ) -> bool:
         """Make room on machines that cache the image, where fetching it would come too late and cost no less."""
         fetch = max((ladder.fetch_time(job, one) for one in chosen if job.spec.image not in one.images), default=ZERO)
-        if fetch == ZERO or wait + fetch <= self._objectives.start_within(job):
+        # A gang starts with its last machine, whose fetch is slow; the start goes out in the answer to its next report.
+        if fetch == ZERO or wait + self._report + fetch * FETCH_SPREAD <= self._objectives.start_within(job):
             return False
         options = []
         for machine in self._candidates(job, now):
