No second fetch beside a gang's; gangs fetch where nothing is fetched yet

A gang task leaves one processor of sixteen free, and a small task with another image went there in the same answer. Tests: each case of test_no_second_fetch_beside_a_gangs.

--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -23,6 +23,9 @@
     SAVING = "flushing"
 
 
+NO_IMAGE_YET = frozenset({Phase.RESERVED, Phase.SENT, Phase.FETCHING})
+
+
 @dataclass(slots=True)
 class Room:
     """An amount of processors, accelerators and memory."""
@@ -164,6 +167,14 @@
             total -= self.images.pop(oldest)
             self.complete.discard(oldest)
 
+    def fetches(self, gangs_only: bool = False) -> bool:
+        """Whether a task here waits for an image that is still to come."""
+        return any(
+            one.running_since is None and one.phase in NO_IMAGE_YET and one.job.spec.image not in self.complete
+            for one in self.placements.values()
+            if one.job.gang or not gangs_only
+        )
+
     def forget_image(self, image: str) -> None:
         """A task that waited for an image is gone: if no other waits for it, the machine has given the fetch up.
 
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -23,6 +23,7 @@
 FETCH_SPREAD = 1.3  # fetches take up to a third longer than the machine type's rate says
 LEAD_REPORTS = 3  # reports that pass between the decision to make room and the start in it
 PATIENCE = 3
+MANY = 1000.0  # more images than a machine caches
 
 
 @dataclass(slots=True)
@@ -181,6 +182,10 @@
             return False
         if machine.name in job.failed_on or ladder.rung_of(job, machine, self._images) is not rung:
             return False
+        if rung is not ladder.Rung.CACHED and machine.fetches(gangs_only=True):
+            # Two fetches share the rate, and a whole gang would wait for it: on a machine that a gang all but fills,
+            # one small task's image made its start come twice as late.
+            return False
         if rung is not ladder.Rung.CACHED and machine.held_for != job.ref:
             bits = job.waiting_bits
             if not bits:
@@ -291,7 +296,10 @@
                 blocked_by_rung = True
                 continue
             # Where it must be fetched, on the machine with the fewest images: the others are worth more to others.
-            spoilt = 0.0 if rung is ladder.Rung.CACHED else float(len(machine.images))
+            # One that fetches already shares its rate.
+            spoilt = 0.0
+            if rung is not ladder.Rung.CACHED:
+                spoilt = len(machine.images) + (MANY if machine.fetches() else 0.0)
             # Among equals, on the one whose report is due first: the start goes out in the answer to it.
             due = machine.heard.total_seconds() if machine.heard is not None else 0.0
             options.append((rung, spoilt, machine.free.cpus, due, machine))
