--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -312,6 +312,26 @@
     assert target.usage["blue"].cpus == (2.0 if still_placed else 0.0)
 
 
+@pytest.mark.parametrize(
+    ("phase", "image", "started"),
+    [
+        (Phase.RESERVED, "img-2", 0),
+        (Phase.FETCHING, "img-2", 0),  # a second fetch would halve the rate of the gang's
+        (Phase.FETCHING, "img-1", 2),  # the same image comes once for all
+        (Phase.RUNNING, "img-2", 2),
+    ],
+)
+def test_no_second_fetch_beside_a_gangs(phase: Phase, image: str, started: int) -> None:
+    target = part(1)
+    machine = target.machines["host-0"]
+    gang = add(target, submission("run-g", kind="group", tasks=1, cpus=4.0, image=image))
+    target.place(gang, 0, 99, machine, timedelta(0), phase).running_since = S if phase is Phase.RUNNING else None
+    machine.touch_image(image, 1.0)
+    add(target, submission("run-1", tasks=2))
+    Planner(target, Scheduling(), Objectives([])).fill(machine, 60 * S, never)
+    assert len(machine.placements) == 1 + started
+
+
 def waiting_gang(target: Part, placed: int = 2) -> Job:
     """The first task waits beside its image, the second still fetches it."""
     gang = add(target, submission("run-g", kind="group", tasks=2))
@@ -351,26 +371,6 @@
         (2, set_draining, ["clear"]),
     ],
 )
-@pytest.mark.parametrize(
-    ("phase", "image", "started"),
-    [
-        (Phase.RESERVED, "img-2", 0),
-        (Phase.FETCHING, "img-2", 0),  # a second fetch would halve the rate of the gang's
-        (Phase.FETCHING, "img-1", 2),  # the same image comes once for all
-        (Phase.RUNNING, "img-2", 2),
-    ],
-)
-def test_no_second_fetch_beside_a_gangs(phase: Phase, image: str, started: int) -> None:
-    target = part(1)
-    machine = target.machines["host-0"]
-    gang = add(target, submission("run-g", kind="group", tasks=1, cpus=4.0, image=image))
-    target.place(gang, 0, 99, machine, timedelta(0), phase).running_since = S if phase is Phase.RUNNING else None
-    machine.touch_image(image, 1.0)
-    add(target, submission("run-1", tasks=2))
-    Planner(target, Scheduling(), Objectives([])).fill(machine, 60 * S, never)
-    assert len(machine.placements) == 1 + started
-
-
 def test_a_gang_task_that_waited_too_long_waits_on(placed: int, change: Callable, commands: list[str]) -> None:
     target = part(2)
     gang = waiting_gang(target, placed)
