--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,13 +1,25 @@
 """What shows only where there are many machines: sockets, memory of what is gone, whole parts changing hands."""
 
+import json
+import sys
+from collections.abc import Callable
 from datetime import timedelta
+from types import FrameType
 
 import pytest
 
 from badgerroute.coordination import controller as controller_module
 from badgerroute.coordination import owner as owner_module
 from badgerroute.coordination.owner import Owner
-from badgerroute.protocol.workers import Report, ReportAnswer
+from badgerroute.coordination.summary import summarize
+from badgerroute.protocol.cloud import MachineType
+from badgerroute.protocol.users import parse_submission
+from badgerroute.protocol.workers import Report, ReportAnswer, TaskReport
+from badgerroute.scheduling.model import Phase
+from badgerroute.scheduling.objectives import Objectives
+from badgerroute.scheduling.part import Part
+from badgerroute.scheduling.planner import Planner
+from badgerroute.settings import Scheduling
 from badgerroute.storage import records
 from badgerroute.transport.clock import VirtualClock
 from badgerroute.transport.loop import Cancelled, Gate, Loop
@@ -189,3 +201,65 @@
     assert set(names[-2 * members :]) <= kept, "the latest"
     assert len(kept) <= max(40, 2 * members + 10) + 16, "and not without bound"
     assert records.GoneRecord(list(kept)).names
+
+
+def calls_in(action: Callable[[], object]) -> int:
+    """How many functions of ours an action calls: the same on every machine, unlike the time it takes."""
+    count = 0
+
+    def seen(frame: FrameType, event: str, argument: object) -> None:
+        nonlocal count
+        count += event == "call"
+
+    sys.setprofile(seen)
+    try:
+        action()
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+def busy_part(machines: int) -> tuple[Part, Planner]:
+    """Every machine is full of running tasks, and other tasks wait."""
+    part = Part(0, 7, lambda team: (1e9, 0.0), timedelta(0))
+    kind = MachineType("k8", 8.0, 0.0, 32.0, 10.0, 0.5, 1.0, 0.3, 20.0, ["a"])
+    for number in range(machines):
+        machine = part.add_machine(f"host-{number}", records.MachineRecord(0, "m:1", "k8", "a", False), kind, SECOND)
+        machine.alive = machine.fenced = True
+        machine.session, machine.answered = 1, SECOND
+    part.settled = True
+    for ref, count in (("run-on", 8 * machines), ("run-waits", 50)):
+        spec = parse_submission(json.dumps(job(ref, heads=count)).encode())
+        part.add_job(records.JobRecord(spec, 0.0, [(0, 0, count)]), timedelta(0), 10**6, timedelta(0))
+    for number, machine in enumerate(part.machines.values()):
+        for index in range(8 * number, 8 * number + 8):
+            part.place(part.jobs["run-on"], index, 99, machine, SECOND, Phase.RUNNING).running_since = SECOND
+    return part, Planner(part, Scheduling(), Objectives([]))
+
+
+def test_what_a_report_costs_does_not_grow_with_the_fleet() -> None:
+    costs = []
+    for machines in (30, 300, 900):
+        part, planner = busy_part(machines)
+        machine = part.machines["host-7"]
+        tasks = [TaskReport(f"run-on/{index}", 99, "running") for index in range(56, 64)]
+
+        def report(seq: int, part=part, planner=planner, machine=machine, tasks=tasks) -> None:
+            one = Report(machine.name, "m:1", "k8", "a", False, 1, seq, 7, None, list(tasks))
+            assert part.on_report(machine, one, True, 2 * SECOND) is not None
+            planner.gangs_on(machine, 2 * SECOND, lambda: False)
+            planner.fill(machine, 2 * SECOND, lambda: False)
+            assert part.commands(machine, 2 * SECOND, starts=True) == []
+
+        report(1)  # the order of jobs, and where images lie, are found anew a few times a second
+        costs.append(calls_in(lambda report=report: report(2)))
+    assert costs[0] == costs[1] == costs[2] < 60
+
+
+def test_what_a_summary_costs_grows_no_faster_than_the_fleet() -> None:
+    costs = []
+    for machines in (100, 200, 400):
+        part, planner = busy_part(machines)
+        costs.append(calls_in(lambda part=part, planner=planner: summarize(part, planner, {2}, False, 2 * SECOND)))
+    assert costs[2] - costs[1] < 2.2 * (costs[1] - costs[0])
+    assert costs[2] < 40 * 400, "a few steps a machine"
