What parts trade has a module of its own; an owner that has ended gives nothing away

Moved out of owner.py without a change: passing gangs on, stealing, lending. Changed: all three ask whether their owner is still the part's, not only whether this controller holds the part: it may hold it again, by another owner. Test: the case added to test_an_owner_that_lost_its_claim_gives_nothing_away fails without it.

--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -135,7 +135,7 @@
         )
         owner.delete = self.fleet.delete
         owner.ask = self._ask_share
-        owner.borrow = self._ask_machines
+        owner.trade.borrow = self._ask_machines
         self.owners[part] = owner
         owner.start()
 
@@ -282,7 +282,7 @@
             for owner in list(self.owners.values()):
                 if not owner.ready or not owner.part.settled or not self.claims.acting(owner.number):
                     continue
-                await owner.pass_on_gangs(self._summaries())
+                await owner.trade.pass_on_gangs(self._summaries())
                 bins, images = owner.idle_bins()
                 if not bins or any(shape.count for shape in owner.planner.shapes(self._loop.now())):
                     continue
@@ -301,7 +301,7 @@
 
     def _steal_from(self, victim: int, message: mesh_wire.Steal) -> None:
         if victim in self.owners:
-            self._group.spawn(self.owners[victim].on_steal(message), "steal")
+            self._group.spawn(self.owners[victim].trade.on_steal(message), "steal")
         else:
             host = self.claims.owner(victim)
             if host is not None:
@@ -375,7 +375,7 @@
         elif isinstance(message, mesh_wire.Steal):
             owner = self.owners.get(message.victim)
             if owner is not None and owner.ready:
-                self._group.spawn(owner.on_steal(message), "steal")
+                self._group.spawn(owner.trade.on_steal(message), "steal")
         elif isinstance(message, mesh_wire.Lack):
             self._give_share(message)
         elif isinstance(message, mesh_wire.Borrow):
@@ -388,7 +388,7 @@
     def _lend(self, message: mesh_wire.Borrow) -> None:
         for owner in self.owners.values():
             if owner.ready and owner.number != message.part:
-                self._group.spawn(owner.lend(message), "lend")
+                self._group.spawn(owner.trade.lend(message), "lend")
 
     def _ask_share(self, message: mesh_wire.Lack) -> None:
         self.mesh.broadcast(message)
--- /dev/null
+++ b/badgerroute/coordination/trade.py
@@ -0,0 +1,330 @@
+"""What a part trades with the others: gangs passed on, waiting tasks stolen from it, empty machines lent.
+
+Only the owner of a thing gives it away, in one conditional write; a lost request costs time, never safety.
+"""
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+
+from badgerroute.coordination.claims import Claims
+from badgerroute.coordination.jobs import JobBook
+from badgerroute.coordination.registrar import Push
+from badgerroute.protocol import mesh as mesh_wire
+from badgerroute.scheduling.model import Job, Machine, Room, allows, need_of
+from badgerroute.scheduling.part import Part
+from badgerroute.scheduling.planner import Planner
+from badgerroute.storage import records
+from badgerroute.storage.budget import Urgency
+from badgerroute.storage.records import MachineRecord, lowest
+from badgerroute.storage.replica import JOBS, MACHINES, Replica
+from badgerroute.storage.state import Conflicted, LeaseGone, StateClient, Unavailable, Unknown, put, when
+from badgerroute.transport.loop import Group, Loop
+
+log = logging.getLogger("badgerroute.trade")
+MOST_RANGES = 48
+PASS_ON_PAUSE = timedelta(seconds=8)  # a gang that was passed on is left where it is for so long
+
+
+class Trade:
+    """`active` tells whether the part's owner is still the one it was; `changed` is told of jobs to read again."""
+
+    def __init__(
+        self,
+        part: Part,
+        planner: Planner,
+        loop: Loop,
+        group: Group,
+        state: StateClient,
+        replica: Replica,
+        claims: Claims,
+        book: JobBook,
+        push: Push,
+        active: Callable[[], bool],
+        changed: Callable[[str], None],
+    ) -> None:
+        self.number, self.part, self.planner = part.number, part, planner
+        self._loop, self._group = loop, group
+        self._state, self._replica, self._claims = state, replica, claims
+        self._book, self._push = book, push
+        self._active, self._changed = active, changed
+        self.borrow: Callable[[mesh_wire.Borrow], None] = lambda message: None
+        self._passed_on: dict[str, timedelta] = {}
+        self._borrowing: tuple[str, timedelta] | None = None  # gang, and since when
+
+    def gathering(self, now: timedelta) -> str | None:
+        """The gang for which machines were asked lately: what comes now comes for it."""
+        if self._borrowing is not None and now - self._borrowing[1] < PASS_ON_PAUSE:
+            return self._borrowing[0]
+        return None
+
+    def _acting(self) -> bool:
+        """An owner that has ended must give nothing away, even if this controller holds the part again."""
+        return self._active() and self._claims.acting(self.number)
+
+    async def pass_on_gangs(self, summaries: list[mesh_wire.PartSummary]) -> None:
+        """Give gangs for which there is no room here to a part that has some, or could make some."""
+        now = self._loop.now()
+        for job in self.planner.stuck_gangs(now):
+            if now - self._passed_on.get(job.ref, -PASS_ON_PAUSE) < PASS_ON_PAUSE:
+                continue
+            others = [one for one in summaries if one.part != self.number and one.settled]
+            options = [one for one in others if self._holds(job, one.bins)] or [
+                one for one in others if self._holds(job, one.soft.get(job.level, []))
+            ]
+            record = self._book.active.get(job.ref)
+            if record is None:
+                continue
+            if not options:
+                self._borrow(job, now, others)
+                continue
+            target = min(options, key=lambda one: (sum(want.gang for want in one.wants), one.part))
+            self._passed_on = {ref: at for ref, at in self._passed_on.items() if now - at < PASS_ON_PAUSE}
+            self._passed_on[job.ref] = now
+            ranges = [(target.part, 0, job.spec.tasks)]
+            moved = records.JobRecord(record.job, record.accepted, ranges, record.base, record.bits)
+            log.info("event=gang_passed_on job=%s from=%d to=%d", job.ref, self.number, target.part)
+            await self._write_steal([(job.ref, moved)], target.part)
+
+    def _borrow(self, job: Job, now: timedelta, others: list[mesh_wire.PartSummary]) -> None:
+        """No part could hold the gang: gather empty machines here until it fits."""
+        here: Counter[str] = Counter()  # by zone, if it must lie in one
+        for machine, room in self.planner.room_without(job.level):
+            if allows(job.spec, machine.kind.name, machine.zone, machine.spot):
+                here[machine.zone if job.spec.together else ""] += room.times(job.need)
+        for machine in self.part.machines.values():
+            if machine.held_for == job.ref:
+                here[machine.zone if job.spec.together else ""] += 1
+        whole = here + sum((self._slots(job, one.bins) for one in others), Counter())
+        if not whole:
+            return
+        # Room in two zones is no room for a gang that must lie in one: such a gang once waited for ever.
+        zone = max(sorted(whole), key=lambda one: (min(job.spec.tasks, whole[one]), here[one]))
+        lacking = job.spec.tasks - here[zone]
+        if lacking > 0 and self.part.fits_share(job, job.spec.tasks) >= job.spec.tasks:
+            self._borrowing = (job.ref, now)
+            self._passed_on[job.ref] = now
+            spec = msgspec.structs.replace(job.spec, zone=zone) if zone else job.spec
+            self.borrow(mesh_wire.Borrow(self.number, spec, lacking))
+
+    async def lend(self, message: mesh_wire.Borrow) -> None:
+        """Give empty machines to a part that is too small for a gang, in one conditional write.
+
+        Only a machine with nothing on it and no start on its way is given, and from before the write on nothing
+        starts on it here.
+        """
+        if not self.part.settled or not self._acting():
+            return
+        need = need_of(message.job)
+        given: list[Machine] = []
+        slots = 0
+        for machine in self.part.machines.values():
+            if slots >= message.count or len(given) >= self._state.limits.txn_ops:
+                break
+            fits = machine.usable and machine.empty and machine.held_for is None and machine.free.holds(need)
+            if fits and allows(message.job, machine.kind.name, machine.zone, machine.spot):
+                slots += machine.free.times(need)
+                given.append(machine)
+        if not given:
+            return
+        conditions = [self._claims.condition(self.number)]
+        puts = []
+        for machine in given:
+            machine.draining = True
+            key = MACHINES + machine.name
+            record = MachineRecord(message.part, machine.address, machine.kind.name, machine.zone, machine.spot)
+            conditions.append(when(key, self._replica.mark(key)))
+            puts.append(put(key, records.write(record)))
+        try:
+            at = await self._state.transact(conditions, puts, Urgency.PROGRESS)
+        except (Conflicted, Unavailable, LeaseGone) as error:
+            log.debug("event=lend_failed part=%d error=%s", self.number, error)
+            for machine in given:
+                machine.draining = False
+        except Unknown:
+            # It may yet be applied, so these machines are of no use here until a write of ours rules that out.
+            for machine in given:
+                self._group.spawn(self._settle_machine(machine), "settle-lend")
+        else:
+            log.info(
+                "event=machines_lent part=%d to=%d machines=%s",
+                self.number,
+                message.part,
+                ",".join(machine.name for machine in given),
+            )
+            for change in puts:
+                self._replica.learn(change.key, bytes(change.value), at)
+                self._push(change.key, bytes(change.value), at)
+
+    async def _settle_machine(self, machine: Machine) -> None:
+        key = MACHINES + machine.name
+        while self.part.machines.get(machine.name) is machine:
+            try:
+                found = await self._state.get(key, Urgency.COMPLETE)
+                if found is None or records.read(bytes(found.value), MachineRecord).part != self.number:
+                    return  # the watch brings it
+                conditions = [self._claims.condition(self.number), when(key, found.revision)]
+                at = await self._state.transact(conditions, [put(key, found.value)], Urgency.COMPLETE)
+                self._replica.learn(key, bytes(found.value), at)
+                machine.draining = False
+                return
+            except (Unavailable, Unknown, Conflicted, LeaseGone):
+                await self._loop.sleep(timedelta(milliseconds=500))
+
+    @staticmethod
+    def _slots(job: Job, bins: list[mesh_wire.Bin]) -> Counter[str]:
+        """How many of a job's tasks fit there: by zone, if they must lie in one."""
+        slots: Counter[str] = Counter()
+        for one in bins:
+            if allows(job.spec, one.type, one.zone, one.spot):
+                room = Room(one.cpus, one.accelerators, one.memory_gb)
+                slots[one.zone if job.spec.together else ""] += one.count * room.times(job.need)
+        return slots
+
+    def _holds(self, job: Job, bins: list[mesh_wire.Bin]) -> bool:
+        return max(self._slots(job, bins).values(), default=0) >= job.spec.tasks
+
+    async def on_steal(self, message: mesh_wire.Steal) -> None:
+        """An idle part wants work: give it tasks that wait here and fit there, in one conditional write."""
+        if not self.part.settled or not self._acting():
+            return
+        bins = [[one, one.count] for one in message.bins]
+        changes: list[tuple[str, records.JobRecord]] = []
+        now = self._loop.now()
+        jobs = sorted(self.part.jobs.values(), key=lambda job: (not job.guaranteed, -job.level, job.accepted))
+        for job in jobs:
+            if len(changes) >= min(6, self._state.limits.txn_ops):
+                break
+            record = self._book.active.get(job.ref)
+            if record is None or len(record.ranges) > MOST_RANGES or not job.waiting_bits:
+                continue
+            taken = self._stealable(job, bins, message.images, now)
+            if taken:
+                ranges = record.ranges
+                while taken:
+                    first = lowest(taken)
+                    length = records.trailing_ones(taken >> first)
+                    taken &= ~records.span(first, first + length)
+                    ranges = records.give(ranges, first, first + length, message.thief)
+                changes.append(
+                    (job.ref, records.JobRecord(record.job, record.accepted, ranges, record.base, record.bits))
+                )
+        if changes:
+            await self._write_steal(changes, message.thief)
+
+    def _stealable(self, job: Job, bins: list[list], images: dict[str, tuple[float, float]], now: timedelta) -> int:
+        """The waiting tasks of a job that the other part could start, as a bit set; takes their room from `bins`."""
+        spec = job.spec
+        waiting = job.waiting_bits
+        whole = spec.gang or spec.together or spec.spread
+        if whole and job.placed:
+            return 0  # placement rules look at all of the job's tasks: they stay in one part
+        # Only machines that the job may use count: else its tasks would stay where none of them can ever run.
+        room_here = self.part.room_for(job)
+        wanted = waiting.bit_count() - (0 if whole else min(room_here, waiting.bit_count()))
+        if whole and room_here >= wanted:
+            return 0
+        if spec.image not in images and now - job.since < timedelta(seconds=1):
+            return 0
+        fitting = 0
+        used: list[tuple[list, int]] = []
+        for entry in bins:
+            bin_, count = entry
+            if not count or fitting >= wanted:
+                continue
+            if spec.types is not None and bin_.type not in spec.types:
+                continue
+            if (spec.zone is not None and spec.zone != bin_.zone) or (bin_.spot and not spec.spot):
+                continue
+            each = Room(bin_.cpus, bin_.accelerators, bin_.memory_gb).times(job.need)
+            if not each:
+                continue
+            machines = min(count, -(-(wanted - fitting) // each))
+            used.append((entry, machines))
+            fitting += each * machines
+        count = min(fitting, wanted)
+        if count <= 0 or (whole and fitting < wanted):
+            return 0
+        for entry, machines in used:
+            entry[1] -= machines
+        if whole:
+            return records.span(0, spec.tasks) & job.owned
+        taken = 0
+        for _ in range(count):  # from the far end, so that what stays is one piece
+            top = 1 << (waiting.bit_length() - 1)
+            waiting ^= top
+            taken |= top
+        return taken
+
+    async def _write_steal(self, changes: list[tuple[str, records.JobRecord]], thief: int) -> None:
+        if not self._acting():
+            return  # the claim went while an earlier write of the same round was on its way
+        conditions = [self._claims.condition(self.number)]
+        puts = []
+        held: list[tuple[Job, int]] = []
+        for ref, record in changes:
+            key = JOBS + ref
+            job = self.part.jobs.get(ref)
+            if job is None:
+                continue
+            given = job.owned & ~record.owned(self.number)
+            if given & (job.placed_bits | job.giving):
+                # Between the choice and this write a task of it was placed: once, a gang was passed on while the
+                # write for the gang before it took its time, and ran in both parts.
+                continue
+            conditions.append(when(key, self._replica.mark(key)))
+            puts.append(put(key, records.write(record)))
+            held.append((job, given))
+            # Nothing of it starts here while the write is on its way. What we own may be read from the record again
+            # meanwhile, by the settling of an earlier write for instance, so it is not enough to own it no more.
+            job.giving |= given
+        if not puts:
+            return
+        try:
+            at = await self._state.transact(conditions, puts, Urgency.PROGRESS)
+        except (Conflicted, Unavailable, LeaseGone) as error:
+            log.debug("event=steal_failed part=%d error=%s", self.number, error)
+            if isinstance(error, Conflicted):
+                await self._refresh([JOBS + job.ref for job, _ in held])
+        except Unknown:
+            # It may yet be applied: the tasks stay out of reach until another write has settled the key.
+            for job, given in held:
+                self._group.spawn(self._settle(job, given), "settle-steal")
+            return
+        else:
+            log.info("event=steal part=%d thief=%d jobs=%d", self.number, thief, len(puts))
+            for change in puts:
+                self._replica.learn(change.key, bytes(change.value), at)
+                self._push(change.key, bytes(change.value), at)
+        for job, given in held:
+            self._given(job, given)
+
+    def _given(self, job: Job, given: int) -> None:
+        """The outcome is known, and so is what we own."""
+        job.giving &= ~given
+        self._changed(job.ref)
+
+    async def _refresh(self, keys: list[str]) -> None:
+        try:
+            await self._book.refresh(keys)
+        except Unavailable:
+            log.debug("event=refresh_failed")
+
+    async def _settle(self, job: Job, given: int) -> None:
+        """Rewrite a job's record as it is, so that a lost transaction can't be applied any more."""
+        key = JOBS + job.ref
+        while True:
+            try:
+                found = await self._state.get(key, Urgency.COMPLETE)
+                if found is None:
+                    return  # it has its final state: the watch drops it
+                at = await self._state.transact([when(key, found.revision)], [put(key, found.value)], Urgency.COMPLETE)
+                self._replica.learn(key, bytes(found.value), at)
+                self._push(key, bytes(found.value), at)
+                self._given(job, given)
+                return
+            except (Unavailable, Unknown, Conflicted, LeaseGone):
+                await self._loop.sleep(timedelta(milliseconds=500))
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -561,7 +561,7 @@
                 record = controller.book.active[one.ref]
                 thief = (owner.number + 1) % 3
                 moved = msgspec.structs.replace(record, ranges=[(thief, 0, one.spec.tasks)])
-                day.loop.run(day.loop.spawn(owner._write_steal([(one.ref, moved)], thief), "give"))
+                day.loop.run(day.loop.spawn(owner.trade._write_steal([(one.ref, moved)], thief), "give"))
                 assert controller.book.active[one.ref].ranges == record.ranges
                 tried += bool(one.placed)
     assert tried
@@ -594,7 +594,7 @@
 
             with monkeypatch.context() as patch:
                 patch.setattr(owner._state, "transact", transact)
-                day.loop.run(day.loop.spawn(owner._write_steal([("run-many", moved)], thief), "give"))
+                day.loop.run(day.loop.spawn(owner.trade._write_steal([("run-many", moved)], thief), "give"))
             assert one.giving == 0
     assert looked == 3
     assert day.finish(400) == []
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from types import FrameType
 
+import msgspec
 import pytest
 
 from badgerroute.coordination import controller as controller_module
@@ -99,7 +100,12 @@
     owner = controller.owners[0]
     record = controller.book.active["run-a"]
     controller.claims._drop(0)
-    day.loop.run(day.loop.spawn(owner._write_steal([("run-a", record)], 1), "give"))
+    moved = msgspec.structs.replace(record, ranges=[(1, 0, 40)])
+    day.loop.run(day.loop.spawn(owner.trade._write_steal([("run-a", moved)], 1), "give"))
+    day.run(5)
+    assert controller.owners[0] is not owner, "the part is ours again, with another owner"
+    day.loop.run(day.loop.spawn(owner.trade._write_steal([("run-a", moved)], 1), "give"))
+    assert controller.book.active["run-a"].ranges == record.ranges
     assert day.finish() == []
 
 
