--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -94,18 +94,24 @@
     """The claim may go while an earlier write of the same round is on its way."""
     day = Day(seed=4)
     day.run(5)
-    day.submit(job("run-a", heads=40, trek_s=30.0))
+    day.submit(job("run-a", heads=150, trek_s=10.0))
     day.run(2)
     controller = day.controllers[HOSTS[0]][0]
     owner = controller.owners[0]
-    record = controller.book.active["run-a"]
     controller.claims._drop(0)
-    moved = msgspec.structs.replace(record, ranges=[(1, 0, 40)])
-    day.loop.run(day.loop.spawn(owner.trade._write_steal([("run-a", moved)], 1), "give"))
-    day.run(5)
+
+    def give() -> None:
+        record = controller.book.active["run-a"]
+        top = owner.part.jobs["run-a"].waiting_bits.bit_length()
+        moved = msgspec.structs.replace(record, ranges=records.give(record.ranges, top - 3, top, 1))
+        assert moved.ranges != record.ranges
+        day.loop.run(day.loop.spawn(owner.trade._write_steal([("run-a", moved)], 1), "give"))
+        assert controller.book.active["run-a"].ranges != moved.ranges
+
+    give()
+    day.run(3)
     assert controller.owners[0] is not owner, "the part is ours again, with another owner"
-    day.loop.run(day.loop.spawn(owner.trade._write_steal([("run-a", moved)], 1), "give"))
-    assert controller.book.active["run-a"].ranges == record.ranges
+    give()
     assert day.finish() == []
 
 
