Gangs whose image nobody caches go to the image's part; those passed on go beside it

What earlier gangs of the image had fetched lay scattered over three parts, too few machines in each. Ruled out: other fetches on the same machines. Test: test_gangs_of_an_image_gather.

--- a/badgerroute/coordination/split.py
+++ b/badgerroute/coordination/split.py
@@ -1,11 +1,15 @@
 """Which part gets which tasks of a new job: by cached images, else by free slots (the paper: by input data)."""
 
+import zlib
 from collections.abc import Sequence
+from math import inf
 
 from badgerroute.protocol.mesh import PartSummary
 from badgerroute.protocol.users import Submission
 from badgerroute.scheduling.model import Room, need_of
 
+UNEVEN = 1.5  # how much more than another a part may have waiting, for its size, to get a gang for its image's sake
+
 
 def _free_slots(job: Submission, summary: PartSummary) -> int:
     need = need_of(job)
@@ -22,6 +26,10 @@
     return sum(want.count * max(want.cpus, want.accelerators, 0.01) for want in summary.wants)
 
 
+def _load(summary: PartSummary | None) -> float:
+    return inf if summary is None else _queued(summary) / (summary.machines + 1)
+
+
 def weights(job: Submission, summaries: Sequence[PartSummary], size: int) -> list[float]:
     by_part = {summary.part: summary for summary in summaries}
     parts = [by_part.get(part) for part in range(size)]
@@ -52,6 +60,13 @@
             return min(job.tasks, sum(room >= job.cpus for room in rooms))
 
         fitting = [part for part in range(size) if shares[part] >= job.tasks or beside(part) >= job.tasks]
+        if not any(beside(part) for part in range(size)):
+            # Nobody caches it yet. If all gangs of an image fetch it in one part, the next finds enough machines there;
+            # scattered over the parts, as many copies serve none.
+            load = [_load(by_part.get(part)) for part in range(size)]
+            home = zlib.crc32(job.image.encode()) % size
+            if load[home] <= UNEVEN * min(load) + 1.0 and (home in fitting or not fitting):
+                return [(home, 0, job.tasks)]
         best = max(fitting or [best], key=lambda part: (beside(part), shares[part], -part))
         return [(best, 0, job.tasks)]
     total = sum(shares)
--- a/badgerroute/coordination/trade.py
+++ b/badgerroute/coordination/trade.py
@@ -81,7 +81,9 @@
             if not options:
                 self._borrow(job, now, others)
                 continue
-            target = min(options, key=lambda one: (sum(want.gang for want in one.wants), one.part))
+            target = min(
+                options, key=lambda one: (-self._beside(job, one), sum(want.gang for want in one.wants), one.part)
+            )
             self._passed_on = {ref: at for ref, at in self._passed_on.items() if now - at < PASS_ON_PAUSE}
             self._passed_on[job.ref] = now
             ranges = [(target.part, 0, job.spec.tasks)]
@@ -184,6 +186,11 @@
                 slots[one.zone if job.spec.together else ""] += one.count * room.times(job.need)
         return slots
 
+    @staticmethod
+    def _beside(job: Job, one: mesh_wire.PartSummary) -> int:
+        """How many of a gang's tasks could find their image in a part."""
+        return min(job.spec.tasks, sum(room >= job.need.cpus for room in one.beside.get(job.spec.image, ())))
+
     def _holds(self, job: Job, bins: list[mesh_wire.Bin]) -> bool:
         return max(self._slots(job, bins).values(), default=0) >= job.spec.tasks
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,5 +1,6 @@
 """Tables of cases for the pure core and the records."""
 
+import zlib
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -7,7 +8,7 @@
 
 from badgerroute.coordination.split import split
 from badgerroute.protocol.cloud import MachineType
-from badgerroute.protocol.mesh import Bin, PartSummary
+from badgerroute.protocol.mesh import Bin, PartSummary, Want
 from badgerroute.protocol.users import Priority, Submission
 from badgerroute.protocol.workers import Report, TaskReport
 from badgerroute.scheduling import af, ladder
@@ -210,10 +211,11 @@
 # -- which part gets what
 
 
-def summary(number: int, free: int, beside: list[float]) -> PartSummary:
-    """A part with so many empty machines, and some that cache the image."""
+def summary(number: int, free: int, beside: list[float], queued: float = 0.0) -> PartSummary:
+    """A part with so many empty machines, some that cache the image, and processors that tasks wait for."""
     bins = [Bin("k8", "a", False, 8.0, 0.0, 32.0, free)] if free else []
-    return PartSummary(number, 7, True, 9, bins, {}, {"img-1": beside}, {}, [], 0.0, {}, {})
+    wants = [Want("run-w", "blue", queued, 0.0, 1.0, 1, False, 1, False, 0.0, None, None, True)] if queued else []
+    return PartSummary(number, 7, True, 9, bins, {}, {"img-1": beside}, {}, wants, 0.0, {}, {})
 
 
 @pytest.mark.parametrize(
@@ -232,6 +234,23 @@
     assert split(submission(kind="group", tasks=2, cpus=8.0), summaries, len(parts)) == [(expected, 0, 2)]
 
 
+@pytest.mark.parametrize(
+    ("parts", "expected"),
+    [
+        ([(4, [], 0), (4, [], 0), (4, [], 0)], 2),  # nobody caches it: to the part of the image
+        ([(9, [], 0), (4, [], 0), (4, [], 0)], 2),  # though another has more room
+        ([(0, [], 0), (0, [], 0), (0, [], 0)], 2),  # or nobody has any yet
+        ([(9, [], 0), (4, [], 0), (1, [], 0)], 0),  # but not where it does not fit
+        ([(4, [], 0), (9, [], 0), (4, [], 80)], 1),  # nor where much more waits
+        ([(4, [], 0), (4, [8.0], 0), (4, [], 0)], 1),  # nor if anybody caches it
+    ],
+)
+def test_gangs_of_an_image_gather(parts: list[tuple[int, list[float], float]], expected: int) -> None:
+    assert zlib.crc32(b"img-1") % 3 == 2
+    summaries = [summary(number, *one) for number, one in enumerate(parts)]
+    assert split(submission(kind="group", tasks=2, cpus=8.0), summaries, 3) == [(expected, 0, 2)]
+
+
 # -- what can be in time
 
 
