--- a/tests/standins/day.py
+++ b/tests/standins/day.py
@@ -211,6 +211,7 @@
             return "unknown"
         if ref not in self.site.jobs:
             self.rules.breach("invented", ref)
+            return None
         condition = json.loads(response.body)["condition"]
         self._check(ref, condition)
         return condition
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -9,8 +9,10 @@
 from badgerroute.coordination import outlook
 from badgerroute.coordination.owner import Owner
 from badgerroute.coordination.shares import Shares
+from badgerroute.coordination.users import Users, answer
 from badgerroute.settings import Objective
 from badgerroute.storage import records
+from badgerroute.transport.http import Response
 from tests.standins.day import HOSTS, SECOND, Day, job
 
 
@@ -509,6 +511,51 @@
     assert rule in caught
 
 
+def says(condition: str, status: int = 200) -> Callable[[pytest.MonkeyPatch], None]:
+    """Controllers that give every poll the same answer."""
+
+    async def poll(self: Users, ref: str) -> Response:
+        return answer(status, {"ref": ref, "condition": condition})
+
+    return lambda monkeypatch: monkeypatch.setattr(Users, "poll", poll)
+
+
+def places_anywhere(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("badgerroute.scheduling.planner.allows", lambda *place: True)
+
+
+def never_drops(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("badgerroute.scheduling.part.Part.drop_job", lambda self, ref: None)
+
+
+@pytest.mark.cheats
+@pytest.mark.parametrize(
+    ("cheat", "rule"),
+    [
+        (places_anywhere, "wrong_place"),
+        (never_drops, "ran_cancelled"),
+        (says("done"), "not_done"),
+        (says("queued"), "went_back"),
+        (says("queued"), "invented"),
+        (says("", 404), "forgotten"),
+    ],
+    ids=["wrong_place", "ran_cancelled", "not_done", "went_back", "invented", "forgotten"],
+)
+def test_checker_catches_each_rule(cheat: Callable, rule: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    day = Day(seed=2)
+    day.run(4)
+    day.submit(job("run-short", heads=2, trek_s=1.0))
+    assert day.finish() == []
+    cheat(monkeypatch)
+    day.submit(job("run-z", heads=30, pasture="b", strays=False, trek_s=120.0))
+    day.run(5)
+    for ref in ("run-short", "run-z", "run-nobody"):
+        day.poll(ref)
+    day.cancel("run-z")
+    day.run(45)
+    assert rule in [text.split()[1].rstrip(":") for text in day.rules.broken]
+
+
 @pytest.mark.parametrize("fault", [nothing, lost_answers, crash_one], ids=["quiet", "lost_answers", "crash_one"])
 def test_gang_too_large_for_any_part(fault: Callable[[Day], None]) -> None:
     """Machines are lent until one part holds all of it; the workers' higher tokens raise that part's term."""
