--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -275,3 +275,77 @@
         costs.append(calls_in(lambda part=part, planner=planner: summarize(part, planner, {2}, False, 2 * SECOND)))
     assert costs[2] - costs[1] < 2.2 * (costs[1] - costs[0])
     assert costs[2] < 40 * 400, "a few steps a machine"
+
+
+BIG_REPORT = {
+    "mount": "host-000001", "address": "host-000001:9000", "breed": "k8", "pasture": "a", "strays": False, "ride": 1,
+    "tally": 10**6, "crook": 0,
+    "heads": [{"head": f"run-x/{index}", "try": 1, "condition": "running"} for index in range(900)],
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("degraded", [False, True], ids=["well", "outage"])
+@pytest.mark.parametrize(
+    ("path", "body", "well", "outage"),
+    [
+        ("/v1/jobs", b"{", 400, 400),
+        ("/v1/jobs", b" " * 70_000, 400, 400),
+        ("/v1/jobs", job("run-n0", heads=0), 400, 400),
+        ("/v1/jobs", job("run-n1", heads=100_001), 400, 400),
+        ("/v1/jobs", job("run-n2", gait="group", heads=41), 422, 503),  # over its team's limit; else unknown
+        ("/v1/jobs", job("run-n3", cpus=9.0), 422, 503),
+        ("/v1/jobs", job("run-n4", crew="nobody"), 422, 503),
+        ("/v1/jobs", job("run-n5"), 201, 503),
+        ("/checkin", b"[]", 400, 400),
+        ("/checkin", BIG_REPORT, None, None),
+        ("/checkin", BIG_REPORT | {"heads": BIG_REPORT["heads"] * 4}, 400, 400),  # over 64 KiB
+    ],
+)
+def test_bad_input_is_answered_at_once(
+    path: str, body: object, well: int | None, outage: int | None, degraded: bool, day_at_size: Day
+) -> None:
+    """Also with many machines and without the state service: nothing is held back, `Retry-After` says when."""
+    day = day_at_size
+    day.state.outage(degraded)
+    if isinstance(body, dict) and "ref" in body:
+        body = body | {"ref": f"{body['ref']}-{degraded}"}
+        day.site.jobs[body["ref"]] = body
+    began = day.loop.now()
+    response = day.ask("POST", path, body, host=HOSTS[0])
+    assert response is not None and day.loop.now() - began < 2 * SECOND
+    expected = outage if degraded else well
+    assert response.status == expected or (expected is None and response.status in (200, 421, 503))
+    if response.status == 503:
+        assert "retry-after" in response.headers
+    day.state.outage(False)
+    day.run(1)
+    assert day.ask("GET", "/up", host=HOSTS[0]).status == 200
+
+
+def test_a_flood_of_connections_shuts_nobody_out(day_at_size: Day) -> None:
+    """Idle and half-sent ones, more than there are sockets: workers and users are served all the same."""
+    day = day_at_size
+    controller = day.controllers[HOSTS[0]][0]
+    limit = controller.settings.params.resources.fd_limit
+
+    async def flood() -> None:
+        for number in range(limit + 200):
+            stream = await day.user.connect(f"{HOSTS[0]}:8080", SECOND)
+            if number % 2:
+                await stream.write(b"POST /v1/jobs HTTP/1.1\r\nContent-Le")
+
+    sessions = {name: worker.session for name, worker in day.site.workers.items()}
+    day.loop.run(day.loop.spawn(flood(), "flood"))
+    assert day.sockets(HOSTS[0]) <= limit
+    assert day.submit(job("run-flood"), tries=10) == 201
+    day.run(20)
+    assert day.sockets(HOSTS[0]) <= limit
+    assert {name: worker.session for name, worker in day.site.workers.items()} == sessions, "no lease ran out"
+    assert day.ask("GET", "/up", host=HOSTS[0]).status == 200
+
+
+@pytest.fixture(scope="module")
+def day_at_size() -> Day:
+    day = Day(seed=11, machines=120)
+    day.run(6)
+    return day
