Guests are served, mistakes are the job's, a thawed controller is heard again, polls share a read

Links are acknowledged now, and opened anew when not. - 800 jobs asked about at once used up the budget of reads: 1,115 answers of 503, 338 timeouts. Polls now share one question how far the state service is, and read our copy once it has caught up.

--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -101,6 +101,7 @@
         second = timedelta(seconds=1)
         for make, name in (
             (self.replica.run, "replica"),
+            (self.replica.answer_readers, "reads"),
             (self.claims.run, "claims"),
             (self._catalog_duty, "catalog"),
             (self._gossip_duty, "gossip"),
--- a/badgerroute/coordination/fleet.py
+++ b/badgerroute/coordination/fleet.py
@@ -260,7 +260,8 @@
             team = teams.get(want.team)
             if team is None:
                 continue
-            left = Room(team.cpus_max - used.get(team.name, 0.0), team.gpus_max - used_gpus.get(team.name, 0.0))
+            cpus, gpus = team.limits
+            left = Room(cpus - used.get(team.name, 0.0), gpus - used_gpus.get(team.name, 0.0))
             count = min(want.count, left.times(Room(want.cpus, want.accelerators)))
             if want.gang and count < want.count:
                 continue
--- a/badgerroute/coordination/jobs.py
+++ b/badgerroute/coordination/jobs.py
@@ -91,6 +91,22 @@
         if item is not None:
             self._replica.learn(item.key, bytes(item.value), item.revision)
             return "active", records.read(bytes(item.value), JobRecord), item.revision
+        return await self._look_up_past(ref, urgency)
+
+    async def current(self, ref: str) -> tuple[str, JobRecord | None, int] | None:
+        """The same from our copy, once that has caught up with the state service: for the many who only look."""
+        final = self._final.get(ref)
+        if final is None:
+            await self._replica.current()
+            final = self._final.get(ref)
+        if final is not None:
+            return final, None, 0
+        record = self.active.get(ref)
+        if record is not None:
+            return "active", record, self._replica.mark(JOBS + ref)
+        return await self._look_up_past(ref, Urgency.READ)
+
+    async def _look_up_past(self, ref: str, urgency: Urgency) -> tuple[str, JobRecord | None, int] | None:
         past = await self._state.get(PAST + ref, urgency)
         if past is None:
             return None
--- a/badgerroute/coordination/mesh.py
+++ b/badgerroute/coordination/mesh.py
@@ -17,6 +17,9 @@
 MOST_QUEUED = 256
 SILENCE = timedelta(seconds=20)
 WRITE_LIMIT = timedelta(seconds=3)
+ACK_EVERY = timedelta(seconds=1)
+UNHEARD = timedelta(seconds=4)  # a link on which nothing was acknowledged for so long is opened anew
+ACK = frame(b"")
 
 
 class _Link:
@@ -26,6 +29,8 @@
         self.host, self.address = host, address
         self.queue: deque[bytes] = deque(maxlen=MOST_QUEUED)
         self.wake = Future()
+        self.unheard: timedelta | None = None  # since when what we wrote has not been acknowledged
+        self.lost: Exception | None = None  # why the other side will hear no more on this connection
 
 
 class Mesh:
@@ -68,11 +73,19 @@
                 link.queue.clear()
                 await self._loop.sleep(timedelta(milliseconds=500))
                 continue
+            link.unheard = link.lost = None
+            acks = self._group.spawn(self._acknowledged(link, stream), "mesh-acks")
             try:
                 while True:
                     if not link.queue:
                         link.wake = Future()
                         await link.wake
+                    if link.lost is not None:
+                        raise link.lost
+                    if link.unheard is None:
+                        link.unheard = self._loop.now()
+                    elif self._loop.now() - link.unheard > UNHEARD:
+                        raise TimeLimit("nothing is acknowledged")
                     data = b"".join(link.queue)
                     link.queue.clear()
                     with self._loop.limit(WRITE_LIMIT):
@@ -80,8 +93,24 @@
             except (OSError, TimeLimit) as error:
                 log.info("event=mesh_link_lost sibling=%s error=%s", link.host, error)
             finally:
+                acks.cancel()
                 stream.close()
 
+    async def _acknowledged(self, link: _Link, stream: Stream) -> None:
+        """Notice that a sibling hears us, or that it has closed the connection.
+
+        Writing does not tell. A sibling gave up on a controller that stood still for half a minute; that one wrote into
+        the closed connection for the rest of the day, and since nobody heard of it, nothing was ever handed back to it.
+        """
+        reader = FrameReader(stream)
+        try:
+            while True:
+                await reader.next()
+                link.unheard = None
+        except OSError as error:
+            link.lost = error
+            link.wake.set()
+
     async def _accept(self, listener: object) -> None:
         try:
             while True:
@@ -96,10 +125,15 @@
 
     async def _hear(self, stream: Stream) -> None:
         reader = FrameReader(stream)
+        acknowledged = self._loop.now()
         try:
             while True:
                 with self._loop.limit(SILENCE):
                     data = await reader.next()
+                if self._loop.now() - acknowledged >= ACK_EVERY:
+                    acknowledged = self._loop.now()
+                    with self._loop.limit(WRITE_LIMIT):
+                        await stream.write(ACK)
                 try:
                     message = wire.decoder.decode(data)
                 except msgspec.DecodeError as error:
--- a/badgerroute/coordination/outlook.py
+++ b/badgerroute/coordination/outlook.py
@@ -70,15 +70,16 @@
             for ref, count in summary.running.items():
                 running[ref] = running.get(ref, 0) + count
         today = self._loop.clock.today().timestamp()
+        mistaken = {job.ref for owner in self._owners.values() for job in owner.part.jobs.values() if job.mistaken}
         groups: dict[tuple[int, bool], list[Load]] = {}
         hungry: set[str] = set()
         for ref, count in left.items():
             record = self._book.active[ref]
             spec = record.job
-            if spec.gang or spec.cpus <= 0:
+            if spec.gang or spec.cpus <= 0 or ref in mistaken:
                 continue
             age = timedelta(seconds=max(0.0, today - record.accepted))
-            limit = min(processors, self._teams[spec.team].cpus_max)
+            limit = min(processors, self._teams[spec.team].limits[0])
             at_once = max(1, int(limit / spec.cpus))
             if age > HUNGRY and spec.tasks - count + running.get(ref, 0) < min(spec.tasks, at_once):
                 hungry.add(ref)
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -313,8 +313,8 @@
             self._progressed()
         if not self.part.settled:
             self.part.settle()
-        if events.sick:
-            self.group.spawn(self._retire_sick(machine), "retire")
+        for one in events.sick:
+            self.group.spawn(self._retire_sick(one), "retire")
         return True
 
     async def _retire_sick(self, machine: Machine) -> None:
@@ -440,7 +440,7 @@
         for job in self.part.jobs.values():
             if job.spec.team != message.team:
                 continue
-            count = job.waiting_bits.bit_count()
+            count = job.startable
             if count:
                 room = self.part.room_for(job)
                 soon.cpus += min(count, room) * job.need.cpus
--- a/badgerroute/coordination/shares.py
+++ b/badgerroute/coordination/shares.py
@@ -8,6 +8,7 @@
 import logging
 from collections.abc import Callable
 from datetime import timedelta
+from math import inf
 
 from badgerroute.protocol.mesh import Lack
 from badgerroute.protocol.state import Condition
@@ -55,25 +56,38 @@
         return self._records.get(team) or ShareRecord({})
 
     def of(self, part: int, team: str) -> tuple[float, float]:
-        """What a part may use of a team's limit. While we give some away, it counts as given already."""
+        """What a part may use of a team's limit; what has none needs no shares."""
+        share = self._held(part, team)
+        if team not in self.teams:
+            return share
+        cpus, gpus = self.teams[team].limits
+        return inf if cpus == inf else share[0], inf if gpus == inf else share[1]
+
+    def _held(self, part: int, team: str) -> tuple[float, float]:
+        """A part's share as it is written down. While we give some away, it counts as given already."""
         share = self._record(team).shares.get(str(part), NONE)
         low = self._committed.get((part, team))
         return share if low is None else (min(share[0], low[0]), min(share[1], low[1]))
 
     def unheld(self, team: str) -> Room:
-        limit = self.teams[team]
+        cpus, gpus = self.teams[team].limits
         held = self._record(team).shares.values()
-        return Room(limit.cpus_max - sum(one[0] for one in held), limit.gpus_max - sum(one[1] for one in held))
+        return Room(cpus - sum(one[0] for one in held), gpus - sum(one[1] for one in held))
+
+    def _limited(self, team: str, lack: Room) -> Room:
+        """What is lacking of that which has a limit."""
+        cpus, gpus = self.teams[team].limits
+        return Room(0.0 if cpus == inf else lack.cpus, 0.0 if gpus == inf else lack.accelerators)
 
     async def raise_own(self, part: int, team: str, lack: Room) -> bool:
         """Take what is lacking from what nobody holds; whether all of it was there."""
         if team not in self.teams or team in self._writing:
             return False
-        free = self.unheld(team)
+        free, lack = self.unheld(team), self._limited(team, lack)
         cpus = max(0.0, min(lack.cpus, free.cpus))
         gpus = max(0.0, min(lack.accelerators, free.accelerators))
         if cpus > EPSILON or gpus > EPSILON:
-            share = self.of(part, team)
+            share = self._held(part, team)
             await self._write(team, part, {part: (share[0] + cpus, share[1] + gpus)})
         return cpus >= lack.cpus - EPSILON and gpus >= lack.accelerators - EPSILON
 
@@ -89,11 +103,12 @@
         """Move some of a part's unused share to another part."""
         if team not in self.teams or team in self._writing or giver == taker:
             return
+        lack = self._limited(team, lack)
         cpus = max(0.0, min(lack.cpus, spare.cpus))
         gpus = max(0.0, min(lack.accelerators, spare.accelerators))
         if cpus <= EPSILON and gpus <= EPSILON:
             return
-        mine = self.of(giver, team)
+        mine = self._held(giver, team)
         other = self._record(team).shares.get(str(taker), NONE)
         low = (mine[0] - cpus, mine[1] - gpus)
         self._committed[giver, team] = low  # from now on nothing starts in what is being given
@@ -111,10 +126,10 @@
         shares = dict(self._record(team).shares)
         for part, share in changed.items():
             shares[str(part)] = (round(share[0], 6), round(share[1], 6))
-        limit = self.teams[team]
+        cpus, gpus = self.teams[team].limits
         if (
-            sum(one[0] for one in shares.values()) > limit.cpus_max + EPSILON
-            or sum(one[1] for one in shares.values()) > limit.gpus_max + EPSILON
+            sum(one[0] for one in shares.values()) > cpus + EPSILON
+            or sum(one[1] for one in shares.values()) > gpus + EPSILON
         ):
             return False
         key = SHARES + team
--- a/badgerroute/coordination/trade.py
+++ b/badgerroute/coordination/trade.py
@@ -206,7 +206,7 @@
             if len(changes) >= min(6, self._state.limits.txn_ops):
                 break
             record = self._book.active.get(job.ref)
-            if record is None or len(record.ranges) > MOST_RANGES or not job.waiting_bits:
+            if record is None or len(record.ranges) > MOST_RANGES or not job.waiting_bits or job.mistaken:
                 continue
             taken = self._stealable(job, bins, message.images, now)
             if taken:
--- a/badgerroute/coordination/users.py
+++ b/badgerroute/coordination/users.py
@@ -66,7 +66,10 @@
             if problem is not None:
                 # Whoever accepted it may have known better: only a job that nobody knows can be refused.
                 found = await self._book.look_up(job.ref, Urgency.SUBMIT)
-                return error(422, problem) if found is None else self._state_answer(200, job.ref, found)
+                if found is None:
+                    log.info("event=submission_refused job=%s team=%s error=%s", job.ref, job.team, problem)
+                    return error(422, problem)
+                return self._state_answer(200, job.ref, found)
             if await self._book.accept(job, split(job, self._summaries(), self._size)):
                 return answer(201, {"ref": job.ref, "condition": "queued"})
             found = await self._book.look_up(job.ref, Urgency.SUBMIT)
@@ -101,15 +104,17 @@
         if not fitting:
             return "a task fits no allowed machine type"
         tasks = job.tasks if job.gang else 1
-        if not Room(team.cpus_max, team.gpus_max).holds(Room(tasks * job.cpus, tasks * job.accelerators)):
+        if not Room(*team.limits).holds(Room(tasks * job.cpus, tasks * job.accelerators)):
             return "more than the team's limit"
         return None
 
     async def poll(self, ref: str) -> Response:
         if not REF.match(ref):
             return error(404, "no such job")
+        if not self._replica.ready.done:
+            return come_back("starting")
         try:
-            found = await self._book.look_up(ref)
+            found = await self._book.current(ref)
         except (Unavailable, Unknown) as trouble:
             log.debug("event=poll_undecided job=%s error=%s", ref, trouble)
             return come_back("the state service can't be reached")
--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -11,6 +11,7 @@
 from badgerroute.storage.records import lowest
 
 EPSILON = 1e-6
+MOST_TIMES = 1_000_000  # more tasks than a job may have
 ZERO = timedelta(0)
 
 
@@ -54,7 +55,7 @@
     def times(self, other: "Room") -> int:
         """How many of `other` fit."""
         counts = [
-            int((mine + EPSILON) / needed)
+            (mine + EPSILON) / needed
             for mine, needed in (
                 (self.cpus, other.cpus),
                 (self.accelerators, other.accelerators),
@@ -62,7 +63,7 @@
             )
             if needed > 0
         ]
-        return max(0, min(counts)) if counts else 1_000_000
+        return max(0, int(min([MOST_TIMES, *counts])))
 
     def copy(self) -> "Room":
         return Room(self.cpus, self.accelerators, self.memory_gb)
@@ -141,7 +142,7 @@
     strays: set[tuple[str, int, int]] = field(default_factory=set)  # on it, but none of ours: to be halted
     images: dict[str, float] = field(default_factory=dict)  # image -> GB, least recently used first
     complete: set[str] = field(default_factory=set)  # those of them that a task was seen to have got
-    failed_jobs: dict[str, int] = field(default_factory=dict)
+    failed_jobs: dict[str, timedelta] = field(default_factory=dict)  # since anything was done here -> first failure
     held_for: str | None = None  # job that room was made for here
     held_until: timedelta | None = None
     idle_since: timedelta | None = None
@@ -213,8 +214,10 @@
     period_began: timedelta | None = None
     run_sum: timedelta = ZERO
     run_count: int = 0
-    failures: int = 0
-    failed_on: set[str] = field(default_factory=set)
+    failed_on: dict[str, int] = field(default_factory=dict)  # machine -> tasks of it that failed there
+    failed_at: timedelta = ZERO
+    mistaken: bool = False  # it fails wherever it goes, so the fault is its own: tried now and then, a task at a time
+    probes: int = 0  # times that it was tried since
     stopped: int = 0  # times that a gang was stopped for another job
     blocked_until: timedelta = ZERO
     level: int = 0  # of its priority; both are asked for at every turn, so they are kept ready
@@ -242,6 +245,14 @@
             left &= (1 << (base + self.window)) - 1
         return left
 
+    @property
+    def startable(self) -> int:
+        """How many of its tasks are worth a place now: of a job that fails everywhere one at a time, or its gang."""
+        count = self.waiting_bits.bit_count()
+        if self.mistaken and not self.gang:
+            return min(count, 0 if self.placed else 1)
+        return count
+
     @property
     def over(self) -> bool:
         """Nothing of it is left here. What is done, but not durable yet, must still be written down.
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -27,6 +27,9 @@
 ATTEMPT_BITS = 24
 SICK_JOBS = 2  # so many different jobs failing on a machine make it suspect
 SICK_TRIES = 3
+AVOIDED = timedelta(seconds=5)
+FORGIVEN = timedelta(seconds=30)  # after so long a job may go back to a machine on which it failed
+MISTAKEN = 3  # a job that fails on so many machines, and is done on none, is taken to be at fault itself
 UNTAKEN = 2  # one answer may be lost on its way
 MOST_REJOINS = 12  # a gang one of whose machines has no image by then is placed anew
 BACKOFF = timedelta(seconds=2)
@@ -66,7 +69,7 @@
 
     progressed: set[str] = field(default_factory=set)  # jobs with tasks newly done
     freed: bool = False
-    sick: bool = False
+    sick: list[Machine] = field(default_factory=list)
 
 
 class Part:
@@ -138,6 +141,7 @@
         job.owned = owned
         job.done |= record.done()
         job.done_here &= ~job.done
+        job.mistaken = job.mistaken and not job.done  # it was done elsewhere
         if job.over:
             del self.jobs[ref]
             return None
@@ -433,8 +437,8 @@
         if fresh:
             job.done_here |= fresh
             events.progressed.add(job.ref)
-        job.failures = 0
-        job.failed_on.clear()
+        if job.failed_on:
+            self._blame_machines(job, machine, events)
         machine.failed_jobs.clear()
         if placement is not None:
             events.freed = True
@@ -450,25 +454,78 @@
         self, machine: Machine, job: Job, placement: Placement, cause: str, events: Events, now: timedelta
     ) -> None:
         if cause == "error":
-            machine.failed_jobs[job.ref] = machine.failed_jobs.get(job.ref, 0) + 1
-            job.failed_on.add(machine.name)
-            job.failures += 1
-            if len(job.failed_on) > 2:
-                # It fails wherever it goes: a mistake in the job, most likely. Probe it seldom.
-                job.blocked_until = now + min(MOST_BACKOFF, BACKOFF * 2 ** min(10, len(job.failed_on)))
-            if len(machine.failed_jobs) >= SICK_JOBS or (
-                machine.failed_jobs[job.ref] >= SICK_TRIES and len(job.failed_on) <= 2
-            ):
-                machine.draining = True
-                events.sick = True
-                log.info("event=machine_sick machine=%s jobs=%d", machine.name, len(machine.failed_jobs))
+            job.failed_on[machine.name] = job.failed_on.get(machine.name, 0) + 1
+            if self._seems_mistaken(job):
+                self._blame_job(job, machine, now)
             else:
-                machine.avoid_until = now + timedelta(seconds=5)
+                job.failed_at = now
+                machine.avoid_until = now + AVOIDED
+                again = now - machine.failed_jobs.setdefault(job.ref, now) >= FORGIVEN
+                known_good = job.done | job.done_here and job.failed_on[machine.name] >= SICK_TRIES
+                # Time for the same jobs to fail elsewhere: two mistaken ones may happen to fail here first.
+                judged = now - min(machine.failed_jobs.values()) >= AVOIDED
+                if again or known_good or (judged and self._only_here(machine) >= SICK_JOBS):
+                    self._sicken(machine, events)
         elif cause in ("no_room", "in_use"):
             machine.avoid_until = now + timedelta(seconds=2)
         elif cause == "no_such":
             job.blocked_until = now + BACKOFF
 
+    @staticmethod
+    def _seems_mistaken(job: Job) -> bool:
+        """Whether the job's failures are its own: no task of it was ever done, and it fails wherever it goes.
+
+        Many machines may be sick at once, so it must have failed on more of them than it runs on.
+        """
+        if job.mistaken or job.done | job.done_here:
+            return job.mistaken
+        running = {one.machine.name for one in job.placed.values() if one.running_since is not None}
+        return len(job.failed_on) >= MISTAKEN and len(job.failed_on) > len(running - job.failed_on.keys())
+
+    def _only_here(self, machine: Machine) -> int:
+        """How many jobs failed on this machine and nowhere else; those that fail elsewhere too may be mistaken."""
+        jobs = [self.jobs.get(ref) for ref in machine.failed_jobs]
+        return sum(job is not None and job.failed_on.keys() == {machine.name} for job in jobs)
+
+    def forgive(self, job: Job, now: timedelta) -> None:
+        """Else a job would wait for ever where only machines that it once failed on may run it."""
+        if job.failed_on and not job.mistaken and now - job.failed_at >= FORGIVEN:
+            job.failed_on = {}
+
+    def _blame_job(self, job: Job, machine: Machine, now: timedelta) -> None:
+        """A mistake in the job: probe it seldom, and hold nothing of it against the machines.
+
+        A few such jobs once had dozens of machines called sick, drained and deleted, with all that ran on them.
+        """
+        if not job.mistaken:
+            log.info("event=job_mistaken job=%s part=%d machines=%d", job.ref, self.number, len(job.failed_on))
+            job.mistaken = True
+            for name in job.failed_on:
+                one = self.machines.get(name)
+                if one is not None and one.failed_jobs.pop(job.ref, None) is not None and not one.failed_jobs:
+                    one.avoid_until = ZERO
+        if now >= job.blocked_until:  # the rest of a wave that was started before says nothing new
+            job.probes += 1
+            job.blocked_until = now + min(MOST_BACKOFF, BACKOFF * 2 ** min(10, job.probes))
+        job.failed_on = {machine.name: 1}  # any other will do for the next probe
+
+    def _blame_machines(self, job: Job, machine: Machine, events: Events) -> None:
+        """A task of the job was done, so there is nothing wrong with it: its failures were their machines'."""
+        failed, job.failed_on = job.failed_on, {}
+        job.mistaken, job.probes, job.blocked_until = False, 0, ZERO
+        for name, tasks in failed.items():
+            one = self.machines.get(name)
+            if one is None or one is machine or job.ref not in one.failed_jobs:
+                continue
+            if tasks >= SICK_TRIES or len(one.failed_jobs) >= SICK_JOBS:
+                self._sicken(one, events)
+
+    def _sicken(self, machine: Machine, events: Events) -> None:
+        if not machine.draining:
+            machine.draining = True
+            events.sick.append(machine)
+            log.info("event=machine_sick machine=%s jobs=%d", machine.name, len(machine.failed_jobs))
+
     # -- answers
 
     def commands(self, machine: Machine, now: timedelta, starts: bool) -> list[Command]:
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -66,6 +66,8 @@
         self._ordered_at = now
         self._images = ladder.Whereabouts(self.part.machines.values())
         waiting = [job for job in self.part.jobs.values() if job.waiting_bits and job.blocked_until <= now]
+        for job in waiting:
+            self.part.forgive(job, now)
         self._tiers = {job.ref: self._tier(job, now) for job in waiting}
         waiting.sort(key=lambda job: (self._group(job), job.accepted))
         self._order = waiting
@@ -180,6 +182,8 @@
         spec = job.spec
         if not machine.free.holds(job.need) or not allows(spec, machine.kind.name, machine.zone, machine.spot):
             return False
+        if job.mistaken and job.placed:
+            return False
         if machine.name in job.failed_on or ladder.rung_of(job, machine, self._images) is not rung:
             return False
         if rung is not ladder.Rung.CACHED and machine.fetches(gangs_only=True):
@@ -204,7 +208,7 @@
         if not machine.free.holds(job.need) or (not beyond and len(job.placed) >= job.desire):
             return False
         bits = job.waiting_bits
-        if not bits or not self._zone_allowed(job, machine.zone, 1):
+        if not bits or (job.mistaken and job.placed) or not self._zone_allowed(job, machine.zone, 1):
             return False
         if not self.part.fits_share(job):
             self._lacks(job, bits.bit_count())
@@ -305,10 +309,10 @@
             options.append((rung, spoilt, machine.free.cpus, due, machine))
         chosen = self._choose(job, tasks, options)
         if chosen is None:
-            if make_room and not blocked_by_rung:
+            if make_room and not blocked_by_rung and not job.mistaken:
                 self._make_room_for_gang(job, tasks, now)
             return False
-        if self._better_beside_image(job, tasks, chosen, wait, now):  # it waits for room there
+        if not job.mistaken and self._better_beside_image(job, tasks, chosen, wait, now):  # it waits for room there
             return False
         attempt = self.part.next_attempt()
         log.debug(
@@ -395,6 +399,7 @@
             for job in self._order
             if job.gang
             and not job.placed
+            and not job.mistaken
             and job.ref not in holders
             and job.waiting_bits
             and now - job.since >= self._patience(job)
@@ -577,7 +582,7 @@
         self._refresh(now)
         coming = sum(machine.leaving for machine in self.part.machines.values())  # room on its way already
         for job in self._order:
-            if job.gang or now - job.since < self._patience(job):
+            if job.gang or job.mistaken or now - job.since < self._patience(job):
                 continue
             bits = job.waiting_bits
             if not bits or now - min(job.requeued.get(lowest(bits), job.since), now) < self._patience(job):
@@ -624,7 +629,7 @@
     def shapes(self, now: timedelta) -> list[Shape]:
         found = []
         for job in self.part.jobs.values():
-            count = job.waiting_bits.bit_count()
+            count = job.startable
             if count and job.blocked_until <= now:
                 found.append(
                     Shape(
--- a/badgerroute/settings.py
+++ b/badgerroute/settings.py
@@ -6,6 +6,7 @@
 
 import tomllib
 from datetime import timedelta
+from math import inf
 from typing import Annotated, Any
 
 import msgspec
@@ -39,6 +40,14 @@
     gpus: Amount = 0.0
     gpus_max: Amount = 0.0
 
+    @property
+    def limits(self) -> tuple[float, float]:
+        """What the team's tasks may use at any time, processors and accelerators.
+
+        0 is the platform's word for no limit. Taken for "nothing", it once had every job of a guest team refused.
+        """
+        return self.cpus_max or inf, self.gpus_max or inf
+
 
 class Objective(Struct, frozen=True):
     kind: str
@@ -221,7 +230,7 @@
     if len(names) != params.size:
         raise SettingsError(f"{source}: params.size: is {params.size}, but {len(names)} controllers are named")
     for team in params.teams:
-        if team.cpus > team.cpus_max or team.gpus > team.gpus_max:
+        if team.cpus > team.limits[0] or team.gpus > team.limits[1]:
             raise SettingsError(f"{source}: params.teams: {team.name} is guaranteed more than its limit")
     if len({team.name for team in params.teams}) != len(params.teams):
         raise SettingsError(f"{source}: params.teams: name used twice")
--- a/badgerroute/storage/replica.py
+++ b/badgerroute/storage/replica.py
@@ -25,8 +25,11 @@
     "b/gone/",
 )
 LISTED = (PARTS, FLEET, JOBS, MACHINES, SHARES, CATALOG, GONE)  # finished jobs are for ever: too many to hold
+NOWHERE = PREFIX + "nowhere"  # a key that never exists
 BLOCK = timedelta(seconds=1)
 PAUSE = timedelta(milliseconds=150)  # between two watches: each one counts as a request
+READ_PAUSE = timedelta(milliseconds=80)  # between two questions how far the service is
+READ_LIMIT = timedelta(milliseconds=1500)
 
 Listener = Callable[[str, bytes | None, int], None]
 
@@ -46,6 +49,8 @@
         self.proved = -timedelta(days=1)  # when the last watch that was answered had been sent
         self._listeners: list[tuple[str, Listener]] = []
         self._advanced: list[tuple[int, Future]] = []
+        self._readers: list[Future] = []
+        self._wanted = Future()
 
     def listen(self, prefix: str, listener: Listener) -> None:
         self._listeners.append((prefix, listener))
@@ -118,6 +123,35 @@
             self._advanced.append((revision, future))
             await future
 
+    async def current(self) -> None:
+        """Wait until all that the service had applied when this was called is taken in: what is read then is no older
+        than what anybody was told before. One question serves all who ask meanwhile.
+
+        A read of its own for each poll once used up the budget when a thousand small jobs were asked about.
+        """
+        reader = Future()
+        self._readers.append(reader)
+        self._wanted.set()
+        if not await self._loop.first(reader, READ_LIMIT):
+            raise Unavailable("the watch lags behind")
+        await reader
+
+    async def answer_readers(self) -> None:
+        """Ask the service how far it is, for all who wait for that."""
+        while True:
+            await self._wanted
+            self._wanted = Future()
+            readers, self._readers = self._readers, []
+            try:
+                revision = await self._state.revision(NOWHERE)
+            except Unavailable as error:
+                for reader in readers:
+                    reader.fail(error)
+            else:
+                self._advanced += [(revision, reader) for reader in readers]
+                self._covered(self.revision)
+            await self._loop.sleep(READ_PAUSE)
+
     async def _load(self) -> None:
         started = self._loop.now()
         fresh: dict[str, tuple[bytes, int]] = {}
--- a/badgerroute/storage/state.py
+++ b/badgerroute/storage/state.py
@@ -113,6 +113,16 @@
         except Unknown as error:
             raise Unavailable(str(error)) from None
 
+    async def revision(self, absent: str, urgency: Urgency = Urgency.READ) -> int:
+        """What the service has applied by now: it says so when asked for a key that is not there."""
+        try:
+            response = await self._call("GET", "/kv/" + quote(absent, safe="/"), b"", urgency)
+            if response.status != 404:
+                raise Unavailable(f"status {response.status}")
+            return self._decoded(response, wire.missing_decoder).revision
+        except Unknown as error:
+            raise Unavailable(str(error)) from None
+
     async def list(self, prefix: str) -> tuple[list[wire.Item], int]:
         """All items under a prefix, and a revision that none of the pages is older than."""
         found: list[wire.Item] = []
--- a/tests/standins/net.py
+++ b/tests/standins/net.py
@@ -81,7 +81,8 @@
         if not self.closed:
             self.closed = True
             self.outgoing.send(None)
-            self.incoming.break_off()
+            if self.incoming.world.resets:
+                self.incoming.break_off()
 
 
 class VirtualListener:
@@ -113,6 +114,7 @@
         self.streams: list[tuple[str, str, VirtualStream, VirtualStream]] = []
         self.cuts: dict[frozenset[str], str] = {}
         self.holding: set[Pipe] = set()
+        self.resets = True  # False: what is written into a connection that the other side closed vanishes
 
     def delay(self) -> timedelta:
         return MS * self.random.uniform(0.3, 2.5)
