A controller that no worker reaches gives its parts to one that they reach

Now whoever they knock at tells the owner; one of whose machines half are overdue hands its part over, and gets it back when it has reached a worker again. Ruled out: machines that lost the network (all came back at once), the processor.

--- a/badgerroute/coordination/claims.py
+++ b/badgerroute/coordination/claims.py
@@ -15,12 +15,13 @@
 from badgerroute.storage.replica import FLEET, PARTS, Replica
 from badgerroute.storage.state import Conflicted, LeaseGone, StateClient, Unavailable, Unknown, put, when
 from badgerroute.transport.clock import ZERO
-from badgerroute.transport.loop import Loop
+from badgerroute.transport.loop import Future, Loop
 
 log = logging.getLogger("badgerroute.claims")
 NEVER = -timedelta(days=1)
 FIRST_WAIT = timedelta(seconds=3)  # a part that nobody ever held is left to its home controller for so long
 RETRY = timedelta(milliseconds=250)
+RELUCTANCE = timedelta(seconds=1)
 
 
 @dataclass(slots=True)
@@ -38,9 +39,11 @@
         replica: Replica,
         won: Callable[[int, Claim], None],
         lost: Callable[[int], None],
+        reluctant: Callable[[], bool] = lambda: False,
     ) -> None:
         self._settings, self._loop, self._state, self._replica = settings, loop, state, replica
-        self._won, self._lost = won, lost
+        self._won, self._lost, self._reluctant = won, lost, reluctant
+        self._freed = Future()  # a part has no owner any more
         self._me = settings.platform.host_name
         self._grace = settings.grace  # asked for with every report
         self.lease: int | None = None
@@ -112,7 +115,10 @@
             except LeaseGone:
                 self._lease_ended()
                 continue
-            await self._loop.sleep(min(pause, RETRY) if self._wanting() else pause)
+            # Woken by the watch, all who are left come at once; then who has fewest parts goes first. When they came as
+            # their pauses ended, a controller with two parts took a third while an idle one slept.
+            await self._loop.first(self._freed, min(pause, RETRY) if self._wanting() else pause)
+            self._freed = Future()
 
     async def _keep_lease(self) -> None:
         sent = self._loop.now()
@@ -159,12 +165,16 @@
             if self._claimable(part):
                 if part != home and self.owner(part) is None:
                     # Whoever has fewest parts should come first; a short pause settles most races.
-                    await self._loop.sleep(timedelta(milliseconds=80) * len(self.parts))
+                    await self._loop.sleep(timedelta(milliseconds=80) * len(self.parts) + self._reluctance())
                 if self._claimable(part):
                     await self._claim(part)
         if self.fleet is None:
             await self._claim_fleet()
 
+    def _reluctance(self) -> timedelta:
+        """One that no worker reaches leaves a free part to others, if there are any."""
+        return RELUCTANCE if self._reluctant() else ZERO
+
     async def _claim(self, part: int) -> None:
         value = self._replica.value(self.key(part))
         held = records.read(value, records.PartClaim) if value else None
@@ -262,6 +272,8 @@
     def _part_changed(self, key: str, value: bytes | None, revision: int) -> None:
         part = int(key.removeprefix(PARTS))
         self._seen.add(part)
+        if value is None:
+            self._freed.set()
         claim = self.parts.get(part)
         if claim is not None and part not in self._busy and revision > claim.term:
             log.warning("event=deposed part=%d term=%d", part, claim.term)
--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -1,6 +1,7 @@
 """One controller: its duties, and who answers what."""
 
 import logging
+import random
 import zlib
 from datetime import timedelta
 
@@ -8,6 +9,7 @@
 
 from badgerroute.coordination.claims import Claim, Claims
 from badgerroute.coordination.fleet import Fleet, rents_ahead
+from badgerroute.coordination.hearing import Hearing
 from badgerroute.coordination.jobs import JobBook
 from badgerroute.coordination.mesh import Mesh
 from badgerroute.coordination.outlook import Outlook
@@ -59,7 +61,8 @@
         self.cloud = CloudClient(loop, network, settings.platform.endpoints.cloud, params.cloud, params.size)
         self.replica = Replica(loop, self.state)
         self.mesh = Mesh(settings, loop, network, group, self._on_message)
-        self.claims = Claims(settings, loop, self.state, self.replica, self._won, self._lost)
+        self.hearing = Hearing(loop, network, self.replica, random.Random(settings.platform.host_name).sample)
+        self.claims = Claims(settings, loop, self.state, self.replica, self._won, self._lost, self._reluctant)
         self.book = JobBook(settings, loop, self.state, self.replica, self._push)
         self.shares = Shares(settings, loop, self.state, self.replica, self._push, self._condition)
         self.catalog: dict[str, MachineType] = {}
@@ -112,6 +115,7 @@
             (self.fleet.rent_duty, "rent"),
             (self.fleet.delete_duty, "delete"),
             (self._idle_duty, "idle"),
+            (self.hearing.probe, "probe"),
         ):
             self._group.duty(make, name, second)
         await Future()
@@ -231,6 +235,7 @@
             self.claims.lease or 0,
             bool(self.catalog) and self.replica.ready.done,
             self._proved(),
+            self.hearing.deaf,
             parts,
         )
 
@@ -321,10 +326,28 @@
                 owner = self.owners.get(part)
                 # A sibling that has lost the state service still names the lease it once had. Its part was handed to it
                 # again and again, each time given up first and claimed anew, and stood still for as long as the cut.
-                fit = sibling.gossip.ready and sibling.gossip.proved and sibling.gossip.lease
-                if fit and owner is not None and owner.part.settled:
+                if self._fit(sibling) and owner is not None and owner.part.settled:
                     await self.claims.hand_over(part, home, sibling.gossip.lease)
 
+    @staticmethod
+    def _fit(sibling: Sibling) -> bool:
+        """Whether a part may be given to a sibling."""
+        told = sibling.gossip
+        return told.ready and told.proved and told.lease > 0 and not told.deaf
+
+    def _reluctant(self) -> bool:
+        return self.hearing.deaf
+
+    async def _on_knock(self, knock: mesh_wire.Knock) -> None:
+        """Our workers knock at a sibling's door: if they don't reach us, it had better own them."""
+        owner, sibling = self.owners.get(knock.part), self.siblings.get(knock.host)
+        if owner is None or not owner.ready or sibling is None:
+            return
+        if self.hearing.knocked(knock, owner.silent()) and self._recent(sibling) and self._fit(sibling):
+            log.warning("event=workers_unheard part=%d to=%s", knock.part, knock.host)
+            self.hearing.gave_up(knock.part)
+            await self.claims.hand_over(knock.part, knock.host, sibling.gossip.lease)
+
     async def _idle_duty(self) -> None:
         """Return machines that nothing needs, where a machine can be had again in time."""
         while True:
@@ -381,6 +404,8 @@
             self._give_share(message)
         elif isinstance(message, mesh_wire.Borrow):
             self._lend(message)
+        elif isinstance(message, mesh_wire.Knock):
+            self._group.spawn(self._on_knock(message), "knock")
 
     def _ask_machines(self, message: mesh_wire.Borrow) -> None:
         self.mesh.broadcast(message)
@@ -440,6 +465,7 @@
             report = parse_report(request.body)
         except Malformed as problem:
             return error(400, str(problem))
+        self.hearing.heard()
         if report.machine in self._gone:
             return come_back("this machine was deleted")  # a late copy, whatever it says
         part = self._part_of(report.machine)
@@ -448,12 +474,19 @@
             host = self.claims.owner(part)
             if host is None or host == self.settings.platform.host_name:
                 return answer(421, Redirect())
+            if self._silent(part):
+                # Sent back there, it would wait in vain once more, and by then its lease is over.
+                self.mesh.send(host, mesh_wire.Knock(part, report.machine, self.settings.platform.host_name))
+                return come_back("its owner does not hear its workers")
             return answer(421, Redirect(host))
         if not owner.ready or not self.claims.acting(part):
             return come_back("not acting for this machine now")
         result = await owner.checkin(report)
         return come_back("can't act on this report now") if result is None else answer(200, result)
 
+    def _silent(self, part: int) -> bool:
+        return any(one.part == part and one.silent for one in self._summaries())
+
     def _part_of(self, name: str) -> int:
         value = self.replica.value(MACHINES + name)
         if value is not None:
--- /dev/null
+++ b/badgerroute/coordination/hearing.py
@@ -0,0 +1,86 @@
+"""Whether the workers' reports reach this controller, and whether others' reach their owners.
+
+A controller may lose its workers alone: state service and siblings still answer it, so its claims stay, and every
+machine it owns would let go of its tasks a lease later. Its workers try the other controllers meanwhile. So these tell
+an owner that has gone without reports who knocks at their doors, and it gives its part to the one that is heard.
+"""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from badgerroute.protocol import mesh as wire
+from badgerroute.scheduling.part import Part
+from badgerroute.storage import records
+from badgerroute.storage.records import MachineRecord
+from badgerroute.storage.replica import MACHINES, Replica
+from badgerroute.transport.http import Client, Unanswered
+from badgerroute.transport.loop import Loop
+from badgerroute.transport.net import Network
+
+log = logging.getLogger("badgerroute.hearing")
+FEWEST = 3  # machines whose silence says something of us rather than of them
+KNOCKS = 2  # and one for each
+PER_KNOCK = 8  # silent machines
+KNOCK_KEPT = timedelta(seconds=6)
+PROBE_EVERY = timedelta(seconds=2)
+PROBES = 3
+PROBE_LIMIT = timedelta(seconds=1)
+
+
+def silent(part: Part, report: timedelta, now: timedelta) -> int:
+    """How many machines' reports are overdue, if they are half of all or more; those known to be lost don't count."""
+    late = report * 1.5 + timedelta(seconds=1)
+    heard = [
+        one.heard or max(one.joined, part.claimed_at)
+        for one in part.machines.values()
+        if one.alive or not one.fenced
+    ]
+    overdue = sum(now - one > late for one in heard)
+    return overdue if len(heard) >= FEWEST and 2 * overdue >= len(heard) else 0
+
+
+class Hearing:
+    def __init__(self, loop: Loop, network: Network, replica: Replica, random: Callable[[list[str], int], list[str]]):
+        self._loop, self._network, self._replica, self._sample = loop, network, replica, random
+        self._knocks: dict[int, dict[str, timedelta]] = {}  # part -> machines that knock at our siblings' doors
+        self.deaf = False  # we gave a part away because no worker reached us, and none has since
+
+    def knocked(self, knock: wire.Knock, silent: int) -> bool:
+        """Note that a machine of ours reported to a sibling; whether too many of the silent ones do for chance."""
+        now = self._loop.now()
+        known = self._knocks.setdefault(knock.part, {})
+        known[knock.machine] = now
+        for name in [name for name, at in known.items() if now - at > KNOCK_KEPT]:
+            del known[name]
+        return silent > 0 and len(known) >= max(KNOCKS, silent // PER_KNOCK)
+
+    def gave_up(self, part: int) -> None:
+        self._knocks.pop(part, None)
+        self.deaf = True
+
+    def heard(self) -> None:
+        self.deaf = False
+
+    async def probe(self) -> None:
+        """Find out when workers can be reached again: they have no reason to report to us by themselves."""
+        while True:
+            await self._loop.sleep(PROBE_EVERY)
+            if not self.deaf:
+                continue
+            members = self._replica.under(MACHINES)
+            for key in self._sample(members, min(PROBES, len(members))):
+                value = self._replica.value(key)
+                if value is not None and await self._answers(records.read(value, MachineRecord).address):
+                    log.info("event=workers_reached again=%s", key.removeprefix(MACHINES))
+                    self.deaf = False
+                    break
+
+    async def _answers(self, address: str) -> bool:
+        client = Client(self._loop, self._network, address, most_idle=1, connect=PROBE_LIMIT)
+        try:
+            return (await client.request("GET", "/status", b"", PROBE_LIMIT)).status == 200
+        except Unanswered:
+            return False
+        finally:
+            client.drop()
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from badgerroute.coordination import summary
+from badgerroute.coordination import hearing, summary
 from badgerroute.coordination.claims import Claim, Claims
 from badgerroute.coordination.fleet import rents_ahead
 from badgerroute.coordination.jobs import JobBook, Progress
@@ -50,6 +50,7 @@
 SUMMARY_KEPT = timedelta(milliseconds=400)
 REGISTER_LIMIT = timedelta(seconds=1)
 FORGET_AGAIN = timedelta(seconds=1)
+FORGET_AT_ONCE = 8  # a transaction as large as the budget's burst has to wait until nobody else writes
 GONE_PAGE = 100  # deleted machines on a page, which may be written anew for each of them
 GONE_NAME = 64  # bytes that a name may take, at twice a page's length
 
@@ -461,9 +462,13 @@
         if self._summary is None or now - self._summary[0] >= SUMMARY_KEPT:
             ahead = rents_ahead(self._settings, self._catalog)
             levels = {record.job.priority.level for record in self._book.active.values() if record.job.gang}
-            self._summary = (now, summary.summarize(self.part, self.planner, levels, ahead, now))
+            silent = self.silent() > 0
+            self._summary = (now, summary.summarize(self.part, self.planner, levels, ahead, now, silent))
         return self._summary[1]
 
+    def silent(self) -> int:
+        return hearing.silent(self.part, self._settings.params.workers.report, self._loop.now())
+
     # -- members leave
 
     async def forget_machines(self, names: list[str]) -> None:
@@ -476,8 +481,8 @@
             self.part.remove_machine(name, now)
         self.part.settle()
         while names and self.number in self._claims.parts:
-            batch = names[: min(self._state.limits.txn_ops - 1, self._gone_most)]
             key, known = self._gone_page()
+            batch = names[: min(self._state.limits.txn_ops - 1, self._gone_most - len(known), FORGET_AT_ONCE)]
             gone = records.write(GoneRecord([*known, *(one for one in batch if one not in known)]))
             members = [MACHINES + name for name in batch if self._replica.mark(MACHINES + name)]
             changes = [put(key, gone), *(remove(one) for one in members)]
--- a/badgerroute/coordination/summary.py
+++ b/badgerroute/coordination/summary.py
@@ -65,7 +65,9 @@
     ]
 
 
-def summarize(part: Part, planner: Planner, levels: set[int], rents_ahead: bool, now: timedelta) -> PartSummary:
+def summarize(
+    part: Part, planner: Planner, levels: set[int], rents_ahead: bool, now: timedelta, silent: bool = False
+) -> PartSummary:
     """`levels`: those of the gangs there are, which others may want to make room for here."""
     bins, images = idle_bins(part)
     running = {
@@ -86,4 +88,5 @@
         freeing=0.0 if rents_ahead else planner.freeing(now),  # only renting by need looks at it
         running=running,
         used={team: (one.cpus, one.accelerators) for team, one in part.usage.items() if one.tasks},
+        silent=silent,
     )
--- a/badgerroute/protocol/mesh.py
+++ b/badgerroute/protocol/mesh.py
@@ -49,6 +49,7 @@
     freeing: float  # processors of small tasks that should end before a new machine could serve
     running: dict[str, int]
     used: dict[str, tuple[float, float]]
+    silent: bool = False  # its owner has had no report in time of at least half of its machines
 
 
 class Gossip(Struct, tag="gossip"):
@@ -58,6 +59,7 @@
     lease: int
     ready: bool
     proved: bool  # the state service answered it within the last seconds
+    deaf: bool  # it knows that no worker reaches it
     parts: list[PartSummary]
 
 
@@ -95,6 +97,14 @@
     count: int
 
 
-Message = Gossip | Push | Steal | Lack | Borrow
+class Knock(Struct, tag="knock"):
+    """A machine of a silent part reported to a controller that does not own it."""
+
+    part: int
+    machine: str
+    host: str
+
+
+Message = Gossip | Push | Steal | Lack | Borrow | Knock
 encoder = msgspec.msgpack.Encoder()
 decoder = msgspec.msgpack.Decoder(Message)
--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -100,6 +100,7 @@
     sent: tuple[int, int] | None = None  # (session, seq) of the report whose answer carried the start
     grace: timedelta | None = None  # set: it is to stop, with so much time to save
     halted_at: timedelta | None = None
+    timed: bool = True  # its beginning was seen when it happened
     rejoined: int = 0  # times that it was started again, by the same attempt number, to wait on for its gang
 
     @property
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -263,6 +263,8 @@
             events.freed = True
             if checkin and machine.answered is not None and now - machine.answered < self._lease:
                 self._deafen(machine)  # its lease ran out although we answered: it does not hear us
+        # After a silence, of the machine's or ours, there is no telling when what it says came about.
+        prompt = machine.heard is not None and now - machine.heard <= self._lease / 3
         machine.session, machine.seq = report.session, report.seq
         machine.token_seen = max(machine.token_seen, report.token)
         machine.heard = now
@@ -285,13 +287,13 @@
             ref, index = split_task(task.task)
             if task.state == "exited":
                 # Ends come first: a refused start must not make a task look free that an older attempt runs.
-                self._exited(machine, ref, index, task, events, now, report, checkin)
+                self._exited(machine, ref, index, task, events, now, report, checkin, prompt)
             else:
                 present.append((ref, index, task))
         seen: set[tuple[str, int]] = set()
         for ref, index, task in present:
             seen.add((ref, index))
-            self._present(machine, ref, index, task, now)
+            self._present(machine, ref, index, task, now, prompt)
         untaken = False
         for key, placement in list(machine.placements.items()):
             if key in seen or placement.phase is Phase.RESERVED:
@@ -331,7 +333,9 @@
         """
         return checkin and placement.sent is not None and report.newer_than(*placement.sent)
 
-    def _present(self, machine: Machine, ref: str, index: int, task: TaskReport, now: timedelta) -> None:
+    def _present(
+        self, machine: Machine, ref: str, index: int, task: TaskReport, now: timedelta, prompt: bool
+    ) -> None:
         phase = PHASES[task.state]
         placement = machine.placements.get((ref, index))
         if placement is None:
@@ -344,6 +348,7 @@
             placement.attempt = task.attempt
         if phase is Phase.RUNNING and placement.running_since is None:
             placement.running_since = now
+            placement.timed = placement.timed and prompt
             log.debug(
                 "event=running task=%s/%d machine=%s fetched=%.1f age=%.1f",
                 ref,
@@ -368,6 +373,7 @@
             machine.strays.add((ref, index, task.attempt))
             return None
         placement = self.place(job, index, task.attempt, machine, now, phase)
+        placement.timed = False
         if job.spec.gang:
             if job.gang_attempt is None:
                 job.gang_attempt = task.attempt
@@ -385,6 +391,7 @@
         now: timedelta,
         report: Report,
         checkin: bool,
+        prompt: bool,
     ) -> None:
         machine.exited.add((ref, index, task.attempt))
         placement = machine.placements.get((ref, index))
@@ -402,7 +409,7 @@
         if cause in WITH_IMAGE and job.spec.image in machine.images:
             machine.complete.add(job.spec.image)
         if cause == "done":
-            self._finished(machine, job, index, placement, events, now)
+            self._finished(machine, job, index, placement, events, now, prompt)
         elif placement is not None and cause == "alone" and self._may_rejoin(placement):
             # The others may still be fetching the image, which takes longer than a task waits for its gang where images
             # are large or machines slow. Stopping them all gave those fetches up, and gangs began anew up to 16 times.
@@ -427,7 +434,14 @@
         )
 
     def _finished(
-        self, machine: Machine, job: Job, index: int, placement: Placement | None, events: Events, now: timedelta
+        self,
+        machine: Machine,
+        job: Job,
+        index: int,
+        placement: Placement | None,
+        events: Events,
+        now: timedelta,
+        prompt: bool,
     ) -> None:
         indices = range(job.spec.tasks) if job.spec.gang else (index,)
         fresh = 0
@@ -442,7 +456,9 @@
         machine.failed_jobs.clear()
         if placement is not None:
             events.freed = True
-            if placement.running_since is not None and fresh >> index & 1:
+            # A controller that stood still once took its own pause for run time: what it expected of the class was far
+            # too long, and jobs that had barely begun were sorted behind all others as late.
+            if placement.running_since is not None and placement.timed and prompt and fresh >> index & 1:
                 run = now - placement.running_since
                 job.run_sum += run
                 job.run_count += 1
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -1,6 +1,7 @@
 """Troubles of the later deployments: controllers that stand still, guests, users' mistakes, many askers."""
 
 import json
+from collections.abc import Callable
 
 import pytest
 
@@ -97,3 +98,58 @@
     response = await client.request("GET", f"/v1/jobs/{ref}", b"", SECOND * 5, fresh=True)
     client.drop()
     return json.loads(response.body)["condition"]
+
+
+def cut_from_workers(day: Day, host: str, mode: str) -> Callable[[], None]:
+    names = list(day.site.workers)
+    for name in names:
+        day.world.cut(host, name, mode)
+
+    def heal() -> None:
+        for name in names:
+            day.world.heal(host, name)
+
+    return heal
+
+
+@pytest.mark.parametrize("mode", ["reset", "hold"])
+@pytest.mark.parametrize("seed", [16, 17, 18])
+def test_a_controller_cut_from_its_workers_gives_its_part_away(seed: int, mode: str) -> None:
+    """Else it keeps its claim, since the state service answers it, and all its machines let go of their tasks."""
+    day = Day(seed=seed, machines=24, capacity=0)
+    day.run(5)
+    day.submit(job("run-long", heads=30, trek_s=50.0))
+    day.run(8)
+    sessions = {name: worker.session for name, worker in day.site.workers.items()}
+    host = HOSTS[seed % 3]
+    heal = cut_from_workers(day, host, mode)
+    day.run(20)
+    assert day.controllers[host][0].owners == {}, "nor is it given back before it reaches a worker"
+    ended = [name for name, worker in day.site.workers.items() if worker.session != sessions.get(name)]
+    assert len(ended) <= 1, "hardly a lease ran out"
+    heal()
+    owners = day.controllers[host][0].owners
+    assert day.until(lambda: len(owners) == 1, 20), "its part comes home"
+    assert day.finish() == []
+    assert day.rules.broken == []
+
+
+def test_silent_machines_alone_move_no_part() -> None:
+    """Half of a part's machines lose the network: that is their trouble, not their owner's."""
+    day = Day(seed=19, machines=24, capacity=0)
+    day.run(5)
+    part = day.controllers[HOSTS[0]][0].owners[0].part
+    terms = {part.number: part.term}
+    names = list(part.machines)[: len(part.machines) * 2 // 3]
+    for name in names:
+        for host in HOSTS:
+            day.world.cut(host, name, "hold")
+    day.run(9)
+    owners = day.controllers[HOSTS[0]][0].owners
+    assert {number: owner.part.term for number, owner in owners.items()} == terms
+    for name in names:
+        for host in HOSTS:
+            day.world.heal(host, name)
+    day.submit(job("run-a", heads=30))
+    assert day.finish() == []
+    assert day.rules.broken == []
