Slow boots are waited for, stuck machines not counted on; jobs that can wait come after those that can't

Now one is given up when a machine rented after it is up, or at 15 times; from twice its boot time on another may be rented in its place.

--- a/badgerroute/coordination/fleet.py
+++ b/badgerroute/coordination/fleet.py
@@ -19,7 +19,9 @@
 ROUND = timedelta(seconds=1)
 REFUSED_PAUSE = timedelta(seconds=10)
 MOST_PAUSE = timedelta(seconds=60)
-BOOT_PATIENCE = 4  # times the nominal boot time: what is not up by then most likely never will be
+BOOT_PATIENCE = 4  # times the nominal boot time: what is not up by then, and is overtaken, most likely never will be
+BOOT_LIMIT = 15  # and so is this, although nothing else came up meanwhile
+BOOT_DUE = 2  # what is not up by then is not counted on, so another is rented in its place
 
 Place = tuple[str, str, bool]  # type, zone, spot
 
@@ -69,6 +71,7 @@
         self._to_delete: dict[str, timedelta] = {}
         self._listed: dict[str, tuple[ListedMachine, timedelta]] = {}
         self._unclaimed: dict[str, timedelta] = {}
+        self._latest_up: timedelta | None = None  # when the machine that came up, and was rented last, had been rented
         self._list_at: timedelta | None = None
 
     # -- deleting: any controller, for the machines of its own parts
@@ -122,7 +125,6 @@
         if self._list_at is not None and now - self._list_at < every:
             return
         machines = await self._cloud.machines()
-        first = self._list_at is None
         self._list_at = now
         members = {key.removeprefix(MACHINES) for key in self._replica.under(MACHINES)}
         doomed: list[str] = []
@@ -136,13 +138,13 @@
             if one.state == "failed":
                 doomed.append(one.name)
             elif one.name in members:
-                self._pending.pop(one.name, None)
+                self._came_up(one.name)
             elif one.state == "booting":
-                if age > BOOT_PATIENCE * boot:
+                if self._hopeless(now - age, boot, now):
                     doomed.append(one.name)
-                elif one.name not in self._pending and (first or age < BOOT_PATIENCE * boot):
+                elif one.name not in self._pending:
                     self._pending[one.name] = Pending((one.type, one.zone, one.spot), 1, now - age)
-            elif one.name not in self._pending:
+            elif one.name not in self._pending or not self._due(self._pending[one.name]):
                 # Up, but it never reported to anybody. Its worker may be cut off; it must not cost for ever.
                 since = self._unclaimed.setdefault(one.name, now)
                 if now - since > 2 * lag + self._settings.params.workers.lease:
@@ -153,20 +155,42 @@
         for name, pending in list(self._pending.items()):
             kind = self._catalog.get(pending.place[0])
             boot = timedelta(seconds=kind.boot_s if kind else 60.0)
-            if name in members or now - pending.since > BOOT_PATIENCE * boot + lag:
+            if name in members:
+                self._came_up(name)
+            elif self._hopeless(pending.since + lag, boot, now):
                 del self._pending[name]
-                if name not in members and name in listed:
+                if name in listed:
                     doomed.append(name)
         if doomed:
             log.info("event=machines_useless machines=%s", ",".join(doomed))
             self.delete(doomed)
 
+    def _came_up(self, name: str) -> None:
+        pending = self._pending.pop(name, None)
+        if pending is not None and (self._latest_up is None or pending.since > self._latest_up):
+            self._latest_up = pending.since
+
+    def _hopeless(self, since: timedelta, boot: timedelta, now: timedelta) -> bool:
+        """Whether a machine that boots since then will most likely never be up.
+
+        On days when all machines boot slowly, only what was rented later and is up already shows that one is stuck:
+        given up by its age alone, every machine was deleted just before it would have come.
+        """
+        age = now - since
+        overtaken = self._latest_up is not None and self._latest_up > since
+        return age > (BOOT_PATIENCE if overtaken else BOOT_LIMIT) * boot
+
+    def _due(self, pending: Pending) -> bool:
+        """Whether a machine on its way can still be counted on."""
+        kind = self._catalog.get(pending.place[0])
+        return kind is None or self._loop.now() - pending.since <= BOOT_DUE * timedelta(seconds=kind.boot_s)
+
     def _count(self) -> int:
         return len(self._replica.under(MACHINES)) + sum(one.count for one in self._pending.values())
 
     async def _rent(self) -> None:
         for key in self._replica.under(MACHINES):
-            self._pending.pop(key.removeprefix(MACHINES), None)
+            self._came_up(key.removeprefix(MACHINES))
         most = self._settings.operator.fleet.most_machines - self._count()
         if most <= 0:
             return
@@ -250,7 +274,7 @@
             wants.extend(part.wants)
         for pending in self._pending.values():
             kind = self._catalog.get(pending.place[0])
-            if kind is not None:
+            if kind is not None and self._due(pending):
                 bins.extend((pending.place, capacity_of(kind)) for _ in range(pending.count))
         teams = {team.name: team for team in self._settings.params.teams}
         wanted: dict[Place, int] = {}
--- a/badgerroute/coordination/outlook.py
+++ b/badgerroute/coordination/outlook.py
@@ -63,7 +63,7 @@
                 job.guaranteed = within.get(job.ref, False)
                 job.tier = ranks.get(job.ref, 0)
 
-    def _tiers(self, left: dict[str, int], within: dict[str, bool]) -> dict[str, int]:
+    def _tiers(self, left: dict[str, int], within: dict[str, bool]) -> dict[str, float]:
         processors = self._processors()
         running: dict[str, int] = {}
         for summary in self._summaries():
--- a/badgerroute/scheduling/feasible.py
+++ b/badgerroute/scheduling/feasible.py
@@ -12,6 +12,8 @@
 
 from badgerroute.scheduling.model import ZERO
 
+SPARE = timedelta(seconds=60)
+
 
 @dataclass(slots=True)
 class Load:
@@ -36,16 +38,24 @@
     return [one[2] for one in kept]
 
 
-def tiers(groups: Iterable[Sequence[Load]], processors: float) -> dict[str, int]:
-    """How many of its due times each job will miss. Groups come in the order in which they are served."""
+def _can_wait(load: Load, number: int) -> bool:
+    """Whether a job has so much time left that others may well come first."""
+    return load.due[number] - load.least > 2 * load.least + SPARE
+
+
+def tiers(groups: Iterable[Sequence[Load]], processors: float) -> dict[str, float]:
+    """How many of its due times each job will miss, and half of one more if it can wait for the others.
+
+    Groups come in the order in which they are served.
+    """
     processors = max(processors, 1.0)
-    found: dict[str, int] = {}
+    found: dict[str, float] = {}
     before = ZERO
     for group in groups:
         left = {one.ref: one for one in group}
         for number in range(max((len(one.due) for one in group), default=0)):
             for load in _in_time(left.values(), number, before, processors):
-                found[load.ref] = number
+                found[load.ref] = number + (0.5 if _can_wait(load, number) else 0.0)
                 before += load.work / processors
                 del left[load.ref]
         for load in left.values():
--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -206,7 +206,7 @@
     requeued: dict[int, timedelta] = field(default_factory=dict)
     gang_attempt: int | None = None
     guaranteed: bool = False
-    tier: int = 0  # how many of its due times it will miss; below 0: it has waited too long to begin
+    tier: float = 0  # due times that it will miss, and a half if it can wait; below 0: it has waited too long to begin
     desire: float = 0.0
     booked: float = 0.0  # since the period began: slots in use, summed over samples
     granted: float = 0.0
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -49,7 +49,7 @@
         self._report = report
         self._settings, self._objectives = settings, objectives
         self._order: list[Job] = []
-        self._tiers: dict[str, int] = {}
+        self._tiers: dict[str, float] = {}
         self._ordered_at = -timedelta(days=1)
         self._least = Room()  # no array task that waits takes less than this
         self._images = ladder.Whereabouts([])
@@ -76,13 +76,13 @@
             min((one.cpus for one in arrays), default=inf), 0.0, min((one.memory_gb for one in arrays), default=inf)
         )
 
-    def _tier(self, job: Job, now: timedelta) -> int:
+    def _tier(self, job: Job, now: timedelta) -> float:
         return job.tier if job.tier < 0 else max(job.tier, self._objectives.missed(job, now, self._run_time(job)))
 
     def _run_time(self, job: Job) -> timedelta:
         return ladder.run_time(job, self.part.estimates.correction(job.spec.job_class))
 
-    def _group(self, job: Job) -> tuple[int, bool, int]:
+    def _group(self, job: Job) -> tuple[int, bool, float]:
         """Jobs among which the least held goes first: alike in class, and in how late they must be already.
 
         What can still be done in time comes before what can't: a late job gains nothing by being less late.
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -330,6 +330,7 @@
         self.withdrawn: dict[str, timedelta] = {}
         self.workers: dict[str, Worker] = {}
         self.booting: dict[str, tuple[Kind, str, bool]] = {}
+        self.asked_at: dict[str, timedelta] = {}
         self.rented: dict[str, list[str]] = {}
         self.rules = Rules(self)
         self.group = Group(self.loop, "site")
@@ -337,6 +338,7 @@
         self.copies: deque[tuple[str, bytes]] = deque(maxlen=4000)  # reports as they were sent
         self.lose_rental_answers = 0
         self.never_boots = 0
+        self.boot_factor = 1.0
         self._counter = 0
         server = Server(self.loop, self.group, self._cloud, 100)
         self.group.spawn(server.serve(world.network("cloud").listen("cloud:8443")), "cloud")
@@ -375,7 +377,7 @@
             self.world.crash(name)
 
     async def _boot(self, name: str) -> None:
-        await self.loop.sleep(self.booting[name][0].boot)
+        await self.loop.sleep(self.booting[name][0].boot * self.boot_factor)
         if name in self.booting:
             kind, zone, spot = self.booting.pop(name)
             self.add_worker(kind.name, zone, spot, name)
@@ -401,7 +403,7 @@
         query = parse_query(request.query)
         rows = [
             {"ref": name, "address": f"{name}:9000", "breed": kind.name, "pasture": zone, "strays": spot,
-             "condition": condition, "held_s": 1.0}
+             "condition": condition, "held_s": (self.loop.now() - self.asked_at.get(name, timedelta(0))) / SECOND}
             for name, (kind, zone, spot, condition) in sorted(self._all().items())
             if name > query.get("since", "")
         ]  # fmt: skip
@@ -423,6 +425,7 @@
                 self._counter += 1
                 name = f"host-{self._counter:06d}"
                 self.booting[name] = (self.kinds[body["breed"]], body["pasture"], body["strays"])
+                self.asked_at[name] = self.loop.now()
                 if self.never_boots > 0:
                     self.never_boots -= 1
                 else:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -153,3 +153,27 @@
     day.submit(job("run-a", heads=30))
     assert day.finish() == []
     assert day.rules.broken == []
+
+
+def test_machines_that_boot_slowly_are_waited_for() -> None:
+    """All take seven times as long as the catalog says: given up by their age alone, none would ever come."""
+    day = Day(seed=20, machines=0, capacity=4)
+    day.site.boot_factor = 7.0
+    day.run(4)
+    day.submit(job("run-a", heads=8))
+    assert day.until(lambda: len(day.site.workers) >= 4, 60)
+    assert day.finish() == []
+    assert day.rules.broken == []
+
+
+def test_a_machine_that_never_boots_is_replaced() -> None:
+    """One that others overtook is given up, so that it does not cost for ever."""
+    day = Day(seed=21, machines=0, capacity=4)
+    day.site.never_boots = 2
+    day.run(4)
+    stuck = set(day.site.booting)
+    day.submit(job("run-a", heads=30, trek_s=60.0))
+    assert day.until(lambda: len(stuck & set(day.site.booting)) <= len(stuck) - 2 and len(day.site.workers) >= 4, 70)
+    assert day.until(lambda: not {name for name in stuck if name in day.site.booting}, 70)
+    assert day.finish() == []
+    assert day.rules.broken == []
