What a dead controller can't use serves the others; completions are written in the order of their due times

Three changes of the state service a job, 54 a second, and 19 of the 30 allowed were used: each controller spent its third, the dead one's lay idle. The limits are now divided among those that are heard or hold a claim. And exports that had been done in time were told done minutes later, behind a thousand small jobs: what will be late first is written first.

--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -36,6 +36,7 @@
 FLUSH = timedelta(milliseconds=300)
 STALE = timedelta(seconds=3)
 MOST_GONE = 5000
+GONE_QUIET = timedelta(seconds=8)  # a sibling without a claim that is silent for so long uses nothing
 UP_PROOF = timedelta(seconds=3)
 HAND_OVER_PAUSE = timedelta(seconds=2)
 RESERVED_SOCKETS = 48  # for the state service, the cloud and the mesh
@@ -82,6 +83,7 @@
         self.siblings: dict[str, Sibling] = {}
         self.users = Users(params, self.book, self.replica, self.catalog, self._summaries, self._running)
         self._flush = Future()
+        self._began = loop.now()
         self._gone: dict[str, None] = {}  # machines that were deleted, oldest first
         sockets = params.resources.fd_limit
         direct = min(MOST_DIRECT, max(4, sockets // 8))
@@ -225,9 +227,25 @@
     async def _gossip_duty(self) -> None:
         while True:
             await self._loop.sleep(GOSSIP)
+            self.state.share(self._in_use())
             if self.claims.lease is not None:
                 self.mesh.broadcast(self._gossip())
 
+    def _in_use(self) -> int:
+        """How many controllers may be using the state service: this one, and all that are heard or hold a claim.
+
+        Right after the start nobody has been heard yet, so none is counted out then.
+        """
+        if self._loop.now() - self._began < GONE_QUIET:
+            return self.settings.params.size
+        claimed = {self.claims.owner(part) for part in range(self.settings.params.size)}
+        hosts = [one.host_name for one in self.settings.platform.siblings]
+        return 1 + sum(host in claimed or self._heard(host) for host in hosts)
+
+    def _heard(self, host: str) -> bool:
+        sibling = self.siblings.get(host)
+        return sibling is not None and self._loop.now() - sibling.heard < GONE_QUIET
+
     def _gossip(self) -> mesh_wire.Gossip:
         parts = [owner.summary() for owner in self.owners.values() if owner.ready]
         return mesh_wire.Gossip(
@@ -269,11 +287,18 @@
         if not merged:
             return
 
-        def rest(one: object) -> int:
+        def order(one: object) -> tuple[int, timedelta]:
+            """Jobs that are complete come first, and of these the ones that will soon be late.
+
+            When a thousand small jobs ended together, writing that down took two minutes, and larger ones that had been
+            done in time were told done too late.
+            """
             record = self.book.active.get(one.ref)
-            return (record.job.tasks - (record.done() | one.done).bit_count()) if record else 0
+            if record is None:
+                return 0, timedelta.max
+            return record.job.tasks - (record.done() | one.done).bit_count(), self.outlook.time_left(record)
 
-        batch = sorted(merged.values(), key=rest)  # jobs that are complete come first
+        batch = sorted(merged.values(), key=order)
         await self.book.write_progress(batch, self._condition)
 
     async def _outlook_duty(self) -> None:
--- a/badgerroute/coordination/outlook.py
+++ b/badgerroute/coordination/outlook.py
@@ -92,6 +92,11 @@
         found.update(dict.fromkeys(hungry, FIRST))
         return found
 
+    def time_left(self, record: JobRecord) -> timedelta:
+        """Until the next time by which the job should be complete."""
+        age = timedelta(seconds=self._loop.clock.today().timestamp() - record.accepted)
+        return min((due - age for due in self._objectives.due(record.job) if due > age), default=timedelta.max)
+
     def _run_time(self, record: JobRecord) -> timedelta:
         correction = 1.0
         for owner in self._owners.values():
--- a/badgerroute/storage/budget.py
+++ b/badgerroute/storage/budget.py
@@ -34,6 +34,12 @@
         self._order = itertools.count()
         self._timer = None
 
+    def limit(self, rate: float, burst: float) -> None:
+        """A new rate from now on."""
+        if rate != self._rate:
+            self._refill()
+            self._rate, self._burst = rate, max(1.0, burst)
+
     def _refill(self) -> None:
         now = self._loop.now()
         self._tokens = min(self._burst, self._tokens + (now - self._at) / timedelta(seconds=1) * self._rate)
--- a/badgerroute/storage/state.py
+++ b/badgerroute/storage/state.py
@@ -60,14 +60,22 @@
         self._client = Client(loop, network, address, most_idle=6)
         self._watch_client = Client(loop, network, address, most_idle=1)
         self._claim_client = Client(loop, network, address, most_idle=1)
-        rate, writes = limits.rps * SLACK / size, limits.write_rps * SLACK / size
-        self._reads = Budget(loop, rate, rate)
-        self._writes = Budget(loop, writes, writes)
+        self._reads = Budget(loop, *self._rates(limits.rps, size))
+        self._writes = Budget(loop, *self._rates(limits.write_rps, size))
         self._loop = loop
         self.limits = limits
         self.requests = 0
         self.conflicts = 0
 
+    @staticmethod
+    def _rates(limit: float, size: int) -> tuple[float, float]:
+        return limit * SLACK / size, limit * SLACK / size
+
+    def share(self, size: int) -> None:
+        """Divide the limits among so many: what a dead controller can't use serves the others."""
+        self._reads.limit(*self._rates(self.limits.rps, size))
+        self._writes.limit(*self._rates(self.limits.write_rps, size))
+
     async def _call(
         self,
         method: str,
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -177,3 +177,21 @@
     assert day.until(lambda: not {name for name in stuck if name in day.site.booting}, 70)
     assert day.finish() == []
     assert day.rules.broken == []
+
+
+def test_what_a_dead_controller_can_not_use_serves_the_others() -> None:
+    day = Day(seed=22)
+    day.run(10)
+    states = {host: controller.state for host, (controller, _) in day.controllers.items()}
+    full = states[HOSTS[0]]._writes._rate
+    day.crash(HOSTS[2])
+    day.run(3)
+    assert states[HOSTS[0]]._writes._rate == full, "it may come back at once"
+    assert day.until(lambda: states[HOSTS[0]]._writes._rate == 1.5 * full, 15)
+    day.start(HOSTS[2])
+    assert day.until(lambda: states[HOSTS[0]]._writes._rate == full, 3), "and shares again"
+    for number, host in enumerate(HOSTS):  # only unheard: each holds its claim
+        for other in HOSTS[:number]:
+            day.world.cut(host, other, "reset")
+    day.run(20)
+    assert states[HOSTS[0]]._writes._rate == full
