--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -366,8 +366,8 @@
     async def _on_knock(self, knock: mesh_wire.Knock) -> None:
         """Our workers knock at a sibling's door: if they don't reach us, it had better own them."""
         owner, sibling = self.owners.get(knock.part), self.siblings.get(knock.host)
-        if owner is None or not owner.ready or sibling is None:
-            return
+        if owner is None or not owner.ready or sibling is None or not owner.missed(knock.machine):
+            return  # new machines knock anywhere; they say nothing of us
         if self.hearing.knocked(knock, owner.silent()) and self._recent(sibling) and self._fit(sibling):
             log.warning("event=workers_unheard part=%d to=%s", knock.part, knock.host)
             self.hearing.gave_up(knock.part)
--- a/badgerroute/coordination/fleet.py
+++ b/badgerroute/coordination/fleet.py
@@ -11,7 +11,9 @@
 from badgerroute.scheduling.model import Room, capacity_of
 from badgerroute.scheduling.objectives import Objectives
 from badgerroute.settings import Settings
+from badgerroute.storage import records
 from badgerroute.storage.cloud import MOST_DELETED, MOST_RENTED, CloudClient, CloudUnavailable, NoCapacity
+from badgerroute.storage.records import MachineRecord
 from badgerroute.storage.replica import MACHINES, Replica
 from badgerroute.transport.loop import Group, Loop
 
@@ -85,9 +87,16 @@
         for name in names:
             self._to_delete.pop(name, None)
 
+    def _belongs_to_others(self, name: str) -> bool:
+        """It was thought useless, then came up after all and joined a part of somebody else, who may use it by now."""
+        value = self._replica.value(MACHINES + name)
+        return value is not None and records.read(value, MachineRecord).part not in self._claims.parts
+
     async def delete_duty(self) -> None:
         while True:
             await self._loop.sleep(timedelta(milliseconds=200))
+            for name in [name for name in self._to_delete if self._belongs_to_others(name)]:
+                del self._to_delete[name]
             names = list(self._to_delete)[:MOST_DELETED]
             # A controller that stood still, or was cut off, once deleted machines that a new owner used by then.
             if not names or not self._claims.certain():
@@ -136,7 +145,8 @@
             boot = timedelta(seconds=kind.boot_s if kind else 60.0)
             age = timedelta(seconds=one.age_s)
             if one.state == "failed":
-                doomed.append(one.name)
+                if not self._belongs_to_others(one.name):  # else its owner finds out sooner
+                    doomed.append(one.name)
             elif one.name in members:
                 self._came_up(one.name)
             elif one.state == "booting":
--- a/badgerroute/coordination/hearing.py
+++ b/badgerroute/coordination/hearing.py
@@ -10,6 +10,7 @@
 from datetime import timedelta
 
 from badgerroute.protocol import mesh as wire
+from badgerroute.scheduling.model import Machine
 from badgerroute.scheduling.part import Part
 from badgerroute.storage import records
 from badgerroute.storage.records import MachineRecord
@@ -28,16 +29,17 @@
 PROBE_LIMIT = timedelta(seconds=1)
 
 
+def overdue(machine: Machine, part: Part, report: timedelta, now: timedelta) -> bool:
+    """Whether a report of a member should have come by now."""
+    heard = machine.heard or max(machine.joined, part.claimed_at)
+    return now - heard > report * 1.5 + timedelta(seconds=1)
+
+
 def silent(part: Part, report: timedelta, now: timedelta) -> int:
     """How many machines' reports are overdue, if they are half of all or more; those known to be lost don't count."""
-    late = report * 1.5 + timedelta(seconds=1)
-    heard = [
-        one.heard or max(one.joined, part.claimed_at)
-        for one in part.machines.values()
-        if one.alive or not one.fenced
-    ]
-    overdue = sum(now - one > late for one in heard)
-    return overdue if len(heard) >= FEWEST and 2 * overdue >= len(heard) else 0
+    expected = [one for one in part.machines.values() if one.alive or not one.fenced]
+    late = sum(overdue(one, part, report, now) for one in expected)
+    return late if len(expected) >= FEWEST and 2 * late >= len(expected) else 0
 
 
 class Hearing:
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -466,6 +466,12 @@
             self._summary = (now, summary.summarize(self.part, self.planner, levels, ahead, now, silent))
         return self._summary[1]
 
+    def missed(self, name: str) -> bool:
+        """Whether a machine is a member whose report should have come by now."""
+        machine = self.part.machines.get(name)
+        report, now = self._settings.params.workers.report, self._loop.now()
+        return machine is not None and hearing.overdue(machine, self.part, report, now)
+
     def silent(self) -> int:
         return hearing.silent(self.part, self._settings.params.workers.report, self._loop.now())
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -624,3 +624,30 @@
     assert [trailing_ones(0b0111), trailing_ones(0), trailing_ones(0b1011)] == [3, 0, 2]
     assert span(2, 4) == 0b1100 and lowest(0b1100) == 2
     assert Room(8, 0, 32).times(Room(3, 0, 1)) == 2
+
+
+@pytest.mark.parametrize(
+    ("times", "learned"),
+    [
+        ((1, 2, 3, 4), 1),  # a report each second, the task is done after the third
+        ((1, 2, 30, 31), 1),  # both ends were seen
+        ((1, 2, 3, 30), 0),  # nobody knows when in between it was done
+        ((1, 20, 21, 22), 0),  # nor, here, when it began
+    ],
+)
+def test_runs_across_a_silence(times: tuple[int, ...], learned: int) -> None:
+    """A controller that stood still must not take its own pause for run time."""
+    target = part(1)
+    machine = target.machines["host-0"]
+    machine.heard = timedelta(0)
+    one = add(target, submission())
+    states = ["running", "running", "exited"]
+    target.on_report(machine, report(1), True, times[0] * S)
+    target.place(one, 0, 5, machine, times[0] * S, Phase.RESERVED)
+    target.commands(machine, times[0] * S, starts=True)
+    for number, (at, state) in enumerate(zip(times[1:], states, strict=True)):
+        told = TaskReport("run-1/0", 5, state, "done" if state == "exited" else None)
+        target.on_report(machine, report(number + 2, [told]), True, at * S)
+    assert one.done_here == 1
+    assert one.run_count == learned
+    assert (target.estimates.correction("batch") == 1.0) is (learned == 0)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from badgerroute.coordination.jobs import JobBook, Progress
+from badgerroute.settings import Objective
 from badgerroute.transport.http import Client
 from tests.standins.day import HOSTS, SECOND, Day, job
 
@@ -195,3 +197,40 @@
             day.world.cut(host, other, "reset")
     day.run(20)
     assert states[HOSTS[0]]._writes._rate == full
+
+
+def test_a_machine_that_joined_somebody_else_is_not_deleted() -> None:
+    """A controller that had given it up stood still meanwhile, and came back with a lease of its own."""
+    day = Day(seed=23)
+    day.run(5)
+    mine, other = (day.controllers[host][0] for host in HOSTS[:2])
+    theirs = next(iter(other.owners[1].part.machines))
+    own = next(iter(mine.owners[0].part.machines))
+    mine.fleet.delete([theirs, own])
+    day.run(3)
+    assert theirs in day.site.workers and own not in day.site.workers
+
+
+def test_what_is_late_first_is_written_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Of many jobs that end together."""
+    day = Day(seed=24, machines=9, objectives=[Objective("finished", 0.9, "soon", within_s=60.0)])
+    day.run(5)
+    batches: list[list[str]] = []
+    real = JobBook.write_progress
+
+    async def write(self: JobBook, batch: list[Progress], claims: object) -> None:
+        complete = [one.ref for one in batch if one.done.bit_count() == 1]
+        batches.append(complete)
+        await real(self, batch, claims)
+
+    monkeypatch.setattr(JobBook, "write_progress", write)
+    for number in range(24):
+        day.submit(job(f"run-{number}", heads=1, herd="soon" if number % 4 == 3 else "batch", trek_s=8.0))
+    assert day.finish() == []
+    mixed = 0
+    for batch in batches:
+        classes = [day.site.jobs[ref]["herd"] for ref in batch]
+        assert classes == sorted(classes, reverse=True), "soon comes before batch"
+        mixed += len(set(classes)) == 2
+    assert mixed
+    assert day.rules.broken == []
