--- a/badgerroute/coordination/fleet.py
+++ b/badgerroute/coordination/fleet.py
@@ -23,7 +23,7 @@
 MOST_PAUSE = timedelta(seconds=60)
 BOOT_PATIENCE = 4  # times the nominal boot time: what is not up by then, and is overtaken, most likely never will be
 BOOT_LIMIT = 15  # and so is this, although nothing else came up meanwhile
-BOOT_DUE = 2  # what is not up by then is not counted on, so another is rented in its place
+BOOT_DUE = 3  # what is not up by then is not counted on, so another is rented in its place
 
 Place = tuple[str, str, bool]  # type, zone, spot
 
