--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -29,6 +29,7 @@
         self.slow = 1.0
         self.refused: set[str] = set()
         self.changed = Future()
+        self.late_writes = 0.0  # this share of transactions gets no answer, and is carried out seconds later
         self.drop_answers = 0  # so many transactions are carried out, but their answers are lost
         self.group = group
         self._down_since = timedelta(0)
@@ -117,6 +118,19 @@
 
     async def _txn(self, request: Request) -> Response:
         body = json.loads(request.body)
+        if self.world.random.random() < self.late_writes:
+            await self.loop.sleep(timedelta(seconds=self.world.random.uniform(2, 12)))
+            while self.down:
+                await self.loop.sleep(timedelta(milliseconds=100))
+            self._carry_out(body)
+            await self.loop.sleep(timedelta(seconds=30))
+        done = self._carry_out(body)
+        if self.drop_answers > 0 and done.status == 200:
+            self.drop_answers -= 1
+            await self.loop.sleep(timedelta(seconds=30))
+        return done
+
+    def _carry_out(self, body: dict) -> Response:
         failed = [
             one["key"]
             for one in body["if"]
@@ -136,9 +150,6 @@
             else:
                 self._remove(change["remove"])
         self._notify()
-        if self.drop_answers > 0:
-            self.drop_answers -= 1
-            await self.loop.sleep(timedelta(seconds=30))
         return reply(200, {"ledger": self.ledger})
 
     async def _follow(self, who: str, query: dict[str, str]) -> Response:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -1,5 +1,6 @@
 """Troubles of the later deployments: controllers that stand still, guests, users' mistakes, many askers."""
 
+import itertools
 import json
 from collections.abc import Callable
 
@@ -7,7 +8,7 @@
 
 from badgerroute.coordination.jobs import JobBook, Progress
 from badgerroute.settings import Objective
-from badgerroute.transport.http import Client
+from badgerroute.transport.http import Client, Unanswered
 from tests.standins.day import HOSTS, SECOND, Day, job
 
 
@@ -234,3 +235,94 @@
         mixed += len(set(classes)) == 2
     assert mixed
     assert day.rules.broken == []
+
+
+def late_writes(day: Day) -> None:
+    day.state.late_writes = 0.3
+    day.loop.later(25 * SECOND, lambda: setattr(day.state, "late_writes", 0.0))
+
+
+def cut_from_state_and_siblings(day: Day) -> None:
+    """It goes on with its workers and users for a while; jobs are cancelled through the others."""
+    host = day.random.choice(HOSTS)
+    others = [f"state-{host}", *(one for one in HOSTS if one != host)]
+    for other in others:
+        day.world.cut(host, other, "hold")
+        day.loop.later(30 * SECOND, lambda other=other: day.world.heal(host, other))
+
+
+def refused_alone_then_an_outage(day: Day) -> None:
+    """Longer than a cancellation has, while users cancel and ask."""
+    day.state.refused.add(f"{day.random.choice(HOSTS)}")
+    day.loop.later(8 * SECOND, lambda: day.state.outage(True))
+    day.loop.later(50 * SECOND, lambda: (day.state.outage(False), day.state.refused.clear()))
+
+
+def hand_overs(day: Day) -> None:
+    """Cut from its workers, its parts go; then it ends, and is back within a fraction of a second."""
+    host = day.random.choice(HOSTS)
+    heal = cut_from_workers(day, host, "hold")
+    day.loop.later(9 * SECOND, lambda: day.restart(host, SECOND / 5))
+    day.loop.later(16 * SECOND, heal)
+
+
+def standstill(day: Day) -> None:
+    day.loop.later(2 * SECOND, lambda: day.loop.freeze(day.random.choice(HOSTS), 9))
+
+
+def deaf_and_hung(day: Day) -> None:
+    """Machines that don't hear, and machines that don't move, when their owner ends."""
+    workers = day.random.sample(list(day.site.workers.values()), 3)
+    workers[0].deaf = workers[1].hung = workers[2].hung = True
+
+    def heal() -> None:
+        workers[0].deaf = workers[1].hung = workers[2].hung = False
+
+    day.loop.later(SECOND, lambda: day.restart(day.random.choice(HOSTS), 5 * SECOND))
+    day.loop.later(8 * SECOND, heal)
+
+
+def old_reports(day: Day) -> None:
+    for after in range(2, 26, 3):
+        day.loop.later(after * SECOND, lambda: day.group.spawn(_copies(day), "copies"))
+
+
+async def _copies(day: Day) -> None:
+    old = list(day.site.copies)
+    for _, body in day.random.sample(old, min(15, len(old))):
+        client = Client(day.loop, day.user, f"{day.random.choice(HOSTS)}:8080")
+        try:
+            await client.request("POST", "/checkin", body, SECOND * 2, fresh=True)
+        except Unanswered:
+            pass
+        finally:
+            client.drop()
+
+
+TROUBLES = [
+    late_writes, cut_from_state_and_siblings, refused_alone_then_an_outage, hand_overs, standstill, deaf_and_hung,
+    old_reports,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("one", "other"), list(itertools.combinations(TROUBLES, 2)), ids=lambda fault: fault.__name__
+)
+def test_two_troubles_at_once(one: Callable[[Day], None], other: Callable[[Day], None]) -> None:
+    """Most rules that were ever broken broke when two troubles met."""
+    day = Day(seed=sum((one.__name__ + other.__name__).encode()), machines=8)
+    day.run(5)
+    for number in range(4):
+        day.submit(job(f"run-a{number}", heads=12, trek_s=15.0, spread=number == 3))
+        day.submit(job(f"run-g{number}", gait="group", heads=2 + number % 2, cpus=4.0, trek_s=20.0, rank="urgent"))
+    day.run(4)
+    one(day)
+    day.run(3)
+    other(day)
+    day.submit(job("run-late", heads=6), tries=3)
+    day.run(4)
+    day.cancel("run-a1", tries=60)
+    day.cancel("run-g2", tries=60)
+    day.run(50)
+    assert day.finish(400) == []
+    assert day.rules.broken == []
