--- a/badgerroute/coordination/claims.py
+++ b/badgerroute/coordination/claims.py
@@ -181,8 +181,12 @@
         if held is not None and held.owner != self._me:
             return
         # Under our own name it is an earlier life of ours, which is over, or it was handed to us by an owner that
-        # had stopped before. But an owner before that may have been cut off, so its time limit is passed on.
-        until = held.until if held is not None else self._now_of_day() + self._settings.grace.total_seconds()
+        # had stopped before. But an owner before that may have been cut off, so its time limit is kept. Nor is that
+        # enough: a claim of ours for the absent key may have been carried out seconds late, after somebody else had
+        # held the part and been cut off, and then the time limit in it is too early.
+        until = self._now_of_day() + self._settings.grace.total_seconds()
+        if held is not None:
+            until = max(until, held.until)
         await self._write(part, self._replica.mark(self.key(part)), until)
 
     def _now_of_day(self) -> float:
--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -15,7 +15,9 @@
 from badgerroute.coordination.outlook import Outlook
 from badgerroute.coordination.owner import Owner
 from badgerroute.coordination.shares import Shares
+from badgerroute.coordination.trade import fits_bin
 from badgerroute.coordination.users import Users, answer, come_back, error
+from badgerroute.coordination.withdrawals import Withdrawals
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.common import Malformed
@@ -65,6 +67,11 @@
         self.hearing = Hearing(loop, network, self.replica, random.Random(settings.platform.host_name).sample)
         self.claims = Claims(settings, loop, self.state, self.replica, self._won, self._lost, self._reluctant)
         self.book = JobBook(settings, loop, self.state, self.replica, self._push)
+        hosts = [one.host_name for one in settings.platform.siblings]
+        self.withdrawals = Withdrawals(
+            loop, settings.platform.host_name, hosts, self.mesh.send, params.workers.cancel
+        )
+        self.book.withdrawn = self.withdrawals.learned
         self.shares = Shares(settings, loop, self.state, self.replica, self._push, self._condition)
         self.catalog: dict[str, MachineType] = {}
         self.fleet = Fleet(
@@ -230,6 +237,7 @@
             self.state.share(self._in_use())
             if self.claims.lease is not None:
                 self.mesh.broadcast(self._gossip())
+            self.withdrawals.repeat()
 
     def _in_use(self) -> int:
         """How many controllers may be using the state service: this one, and all that are heard or hold a claim.
@@ -315,15 +323,26 @@
                     continue
                 await owner.trade.pass_on_gangs(self._summaries())
                 bins, images = owner.idle_bins()
-                if not bins or any(shape.count for shape in owner.planner.shapes(self._loop.now())):
+                if not bins:
+                    continue
+                short = owner.trade.short_teams()
+                if owner.trade.has_work_for(bins, short):
                     continue
-                victim = self._busiest(owner.number)
+                victim = self._busiest(owner.number, bins, short)
                 if victim is not None:
-                    self._steal_from(victim, mesh_wire.Steal(victim, owner.number, bins, images))
+                    self._steal_from(victim, mesh_wire.Steal(victim, owner.number, bins, images, sorted(short)))
 
-    def _busiest(self, thief: int) -> int | None:
+    def _busiest(self, thief: int, bins: list[mesh_wire.Bin], short: set[str]) -> int | None:
+        """The part where most waits that would fit the thief's room.
+
+        What fits nowhere there once drew every request to itself, while a third part's work waited beside room for it.
+        """
         waiting = {
-            summary.part: sum(want.count * max(want.cpus, want.accelerators) for want in summary.wants)
+            summary.part: sum(
+                want.count * max(want.cpus, want.accelerators)
+                for want in summary.wants
+                if want.team not in short and any(fits_bin(want, one) for one in bins)
+            )
             for summary in self._summaries()
             if summary.part != thief and summary.settled
         }
@@ -431,6 +450,21 @@
             self._lend(message)
         elif isinstance(message, mesh_wire.Knock):
             self._group.spawn(self._on_knock(message), "knock")
+        elif isinstance(message, mesh_wire.Withdrawn):
+            self._on_withdrawn(message)
+        elif isinstance(message, mesh_wire.WithdrawnHeard):
+            self.withdrawals.known_to(message.host, message.refs)
+
+    def _on_withdrawn(self, message: mesh_wire.Withdrawn) -> None:
+        """Act on it in this very step, though the state service may not answer us; then say that we have heard."""
+        refs = [ref for ref, _ in message.jobs]
+        self.withdrawals.known_to(message.host, refs)
+        if not self.replica.ready.done:
+            return  # not acknowledged, so it comes again
+        for ref, revision in message.jobs:
+            self.book.hear_withdrawn(ref, revision)
+        self.withdrawals.known_to(message.host, refs)
+        self.mesh.send(message.host, mesh_wire.WithdrawnHeard(self.settings.platform.host_name, refs))
 
     def _ask_machines(self, message: mesh_wire.Borrow) -> None:
         self.mesh.broadcast(message)
@@ -475,9 +509,10 @@
         """Whether users should be sent here.
 
         In an outage that all controllers see, none could serve them better, and being taken out of the load balancer
-        would only last longer than the outage. One that is cut off alone must say so at once.
+        would only last longer than the outage: also one of more than G, after which users once found no node at all for
+        many seconds. One that is cut off alone must say so at once.
         """
-        if not self.replica.ready.done or not self.claims.fresh():
+        if not self.replica.ready.done:
             return come_back("not ready")
         heard = [one for one in self.siblings.values() if self._recent(one)]
         alone = any(one.gossip.proved for one in heard) or (not heard and self.settings.params.size > 1)
--- a/badgerroute/coordination/jobs.py
+++ b/badgerroute/coordination/jobs.py
@@ -45,8 +45,10 @@
     def __init__(self, settings: Settings, loop: Loop, state: StateClient, replica: Replica, pushed: Pushed) -> None:
         self._settings, self._loop, self._state, self._replica = settings, loop, state, replica
         self._pushed = pushed
+        self.withdrawn: Callable[[str, int, bool], None] = lambda ref, revision, at_once: None
         self.active: dict[str, JobRecord] = {}
-        self._final: OrderedDict[str, str] = OrderedDict()
+        self._final: OrderedDict[str, tuple[str, int]] = OrderedDict()  # state, and the revision that made it so
+        self._confirming: set[str] = set()  # jobs whose users are about to be told that they are withdrawn
         replica.listen(JOBS, self._job_changed)
         replica.listen(PAST, self._past_changed)
 
@@ -61,14 +63,22 @@
 
     def _past_changed(self, key: str, value: bytes | None, revision: int) -> None:
         if value is not None:
-            self._remember(key.removeprefix(PAST), records.read(value, PastRecord).state)
+            self._remember(key.removeprefix(PAST), records.read(value, PastRecord).state, revision)
 
-    def _remember(self, ref: str, state: str) -> None:
+    def _remember(self, ref: str, state: str, revision: int) -> None:
         """Final states never change, so they alone may be answered from memory."""
-        self._final[ref] = state
+        fresh = ref not in self._final
+        self._final[ref] = (state, revision)
         self._final.move_to_end(ref)
         if len(self._final) > MOST_FINAL:
             self._final.popitem(last=False)
+        if fresh and state == "withdrawn":
+            self.withdrawn(ref, revision, ref in self._confirming)
+
+    def hear_withdrawn(self, ref: str, revision: int) -> None:
+        """A sibling knows that a job is withdrawn, though our watch may not say so for a while."""
+        self._remember(ref, "withdrawn", revision)
+        self._replica.learn(JOBS + ref, None, revision)
 
     def _change(self, key: str, value: bytes | None, revision: int) -> None:
         self._replica.learn(key, value, revision)
@@ -77,7 +87,8 @@
     # -- reading
 
     def final(self, ref: str) -> str | None:
-        return self._final.get(ref)
+        known = self._final.get(ref)
+        return known[0] if known else None
 
     async def look_up(self, ref: str, urgency: Urgency = Urgency.READ) -> tuple[str, JobRecord | None, int] | None:
         """(state, record, revision) as the state service has it now; None: nobody submitted such a job.
@@ -86,7 +97,7 @@
         """
         final = self._final.get(ref)
         if final is not None:
-            return final, None, 0
+            return final[0], None, final[1]
         item = await self._state.get(JOBS + ref, urgency)
         if item is not None:
             self._replica.learn(item.key, bytes(item.value), item.revision)
@@ -100,7 +111,7 @@
             await self._replica.current()
             final = self._final.get(ref)
         if final is not None:
-            return final, None, 0
+            return final[0], None, final[1]
         record = self.active.get(ref)
         if record is not None:
             return "active", record, self._replica.mark(JOBS + ref)
@@ -111,7 +122,10 @@
         if past is None:
             return None
         state = records.read(bytes(past.value), PastRecord).state
-        self._remember(ref, state)
+        self._remember(ref, state, past.revision)
+        # It left `jobs` in the same transaction. Until the watch says so, a controller that had just told a user that
+        # the job is withdrawn could still have started a task of it.
+        self._replica.learn(JOBS + ref, None, past.revision)
         return state, None, past.revision
 
     @staticmethod
@@ -143,7 +157,17 @@
         return True
 
     async def cancel(self, ref: str) -> str | None:
-        """The final state after a cancellation; None: nobody submitted such a job."""
+        """The final state after a cancellation; None: nobody submitted such a job.
+
+        After an unknown outcome the user asks again, and what is read back then tells what stands.
+        """
+        self._confirming.add(ref)
+        try:
+            return await self._cancel(ref)
+        finally:
+            self._confirming.discard(ref)
+
+    async def _cancel(self, ref: str) -> str | None:
         for _ in range(6):
             found = await self.look_up(ref, Urgency.CANCEL)
             if found is None:
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -33,6 +33,7 @@
     Unknown,
     put,
     remove,
+    when,
 )
 from badgerroute.transport.http import Client, Unanswered
 from badgerroute.transport.loop import Future, Gate, Group, Loop
@@ -49,6 +50,7 @@
 PARTIAL = timedelta(seconds=3)  # between two writes of a job's progress, unless it may be complete
 SUMMARY_KEPT = timedelta(milliseconds=400)
 REGISTER_LIMIT = timedelta(seconds=1)
+MOST_HASTY = 16  # machines that are told of withdrawn jobs in one round; the others hear by their reports
 FORGET_AGAIN = timedelta(seconds=1)
 FORGET_AT_ONCE = 8  # a transaction as large as the budget's burst has to wait until nobody else writes
 GONE_PAGE = 100  # deleted machines on a page, which may be written anew for each of them
@@ -403,15 +405,25 @@
                     self.part.stop(placement, grace if spec.checkpoint_s else ZERO)
 
     async def _urgent_halts(self) -> None:
-        """A gang's tasks must hear of their stop close together: don't wait for reports to carry it."""
-        machines = {
-            placement.machine
-            for job in self.part.jobs.values()
-            if job.gang
-            for placement in job.placed.values()
-            if placement.stopping and placement.halted_at is None and placement.phase is not Phase.SENT
-        }
-        for machine in machines:
+        """Don't wait for reports to carry what is in a hurry.
+
+        A gang's tasks must hear of their stop close together. And no task of a withdrawn job should begin once its user
+        was told: those that still fetch their image come first, and the others are of no use to anybody.
+        """
+        gangs: dict[Machine, None] = {}
+        withdrawn: dict[Machine, bool] = {}  # whether a task of one has begun on all such tasks there
+        for job in self.part.jobs.values():
+            if not job.gang and job.owned:
+                continue
+            for placement in job.placed.values():
+                if placement.stopping and placement.halted_at is None and placement.phase is not Phase.SENT:
+                    if job.gang:
+                        gangs[placement.machine] = None
+                    else:
+                        begun = placement.running_since is not None
+                        withdrawn[placement.machine] = begun and withdrawn.get(placement.machine, True)
+        hasty = [one for one in sorted(withdrawn, key=lambda one: withdrawn[one]) if one not in gangs]
+        for machine in (*gangs, *hasty[:MOST_HASTY]):
             commands = self.part.commands(machine, self._loop.now(), starts=False)
             self.group.spawn(self.direct(machine, commands, urgent=True), "halt")
 
@@ -421,10 +433,22 @@
         lacks, self.planner.short_of_share = self.planner.short_of_share, {}
         for team, lack in lacks.items():
             if not await self._shares.raise_own(self.number, team, lack):
-                message = self._shares.ask(self.number, team, lack)
+                message = self._shares.ask(self.number, team, lack, self._oldest_short(team))
                 if message is not None:
                     self.group.spawn(self._ask(message), "ask-share")
 
+    def _oldest_short(self, team: str) -> timedelta:
+        """The age of the oldest job of a team that waits here for want of a share."""
+        now = self._loop.now()
+        return max(
+            (
+                now - job.accepted
+                for job in self.part.jobs.values()
+                if job.spec.team == team and self.part.short_of_share(job)
+            ),
+            default=ZERO,
+        )
+
     async def _ask(self, message: mesh_wire.Lack) -> None:
         self.ask(message)
 
@@ -441,6 +465,13 @@
         for job in self.part.jobs.values():
             if job.spec.team != message.team:
                 continue
+            if self.part.short_of_share(job) and (message.age_s, -message.part) > (
+                (self._loop.now() - job.accepted).total_seconds(),
+                -self.number,
+            ):
+                # What is kept for it does not suffice either. Two gangs once waited for ever, each of them beside a
+                # part of the limit that was too small for it; now what there is goes to the older one.
+                continue
             count = job.startable
             if count:
                 room = self.part.room_for(job)
@@ -492,8 +523,10 @@
             gone = records.write(GoneRecord([*known, *(one for one in batch if one not in known)]))
             members = [MACHINES + name for name in batch if self._replica.mark(MACHINES + name)]
             changes = [put(key, gone), *(remove(one) for one in members)]
+            # On the page as we know it: carried out late, an older write of it would strike newer names off.
+            conditions = [self._claims.condition(self.number), when(key, self._replica.mark(key))]
             try:
-                at = await self._state.transact([self._claims.condition(self.number)], changes, Urgency.PROGRESS)
+                at = await self._state.transact(conditions, changes, Urgency.PROGRESS)
             except (Unavailable, Unknown, Conflicted, LeaseGone) as error:
                 log.info("event=forget_failed machines=%d error=%s", len(batch), error)
                 await self._loop.sleep(FORGET_AGAIN)
--- a/badgerroute/coordination/trade.py
+++ b/badgerroute/coordination/trade.py
@@ -26,9 +26,20 @@
 
 log = logging.getLogger("badgerroute.trade")
 MOST_RANGES = 48
+GANG_HOPE = timedelta(seconds=30)  # a gang that has waited longer, and does not fit, keeps no room from others' work
 PASS_ON_PAUSE = timedelta(seconds=8)  # a gang that was passed on is left where it is for so long
 
 
+def fits_bin(want: mesh_wire.Want, one: mesh_wire.Bin) -> bool:
+    """Whether a waiting task could run on such a machine as it is now."""
+    return (
+        (want.types is None or one.type in want.types)
+        and want.zone in (None, one.zone)
+        and (want.spot or not one.spot)
+        and Room(one.cpus, one.accelerators, one.memory_gb).holds(Room(want.cpus, want.accelerators, want.memory_gb))
+    )
+
+
 class Trade:
     """`active` tells whether the part's owner is still the one it was; `changed` is told of jobs to read again."""
 
@@ -61,6 +72,31 @@
             return self._borrowing[0]
         return None
 
+    def short_teams(self) -> set[str]:
+        """Teams of which work waits here for want of a share: more of it would wait just as long."""
+        return {job.spec.team for job in self.part.jobs.values() if self.part.short_of_share(job)}
+
+    def has_work_for(self, bins: list[mesh_wire.Bin], short: set[str]) -> bool:
+        """Whether something waits here that the free room could soon be used for.
+
+        Any waiting job once counted, also one that no machine here may run, that its team's limit holds back, or that
+        fails everywhere: beside it a part's room lay idle, while other parts' tasks waited for room.
+        """
+        now = self._loop.now()
+        seen: set[tuple] = set()  # jobs come in few shapes
+        for job in self.part.jobs.values():
+            spec = job.spec
+            if job.mistaken or job.failed_on or spec.team in short or not job.startable or job.blocked_until > now:
+                continue
+            if job.gang and now - job.since > GANG_HOPE and not self._holds(job, bins):
+                continue
+            shape = (spec.cpus, spec.accelerators, spec.memory_gb, spec.zone, spec.spot, tuple(spec.types or ()))
+            if shape not in seen:
+                seen.add(shape)
+                if self._slots(job, bins):
+                    return True
+        return False
+
     def _acting(self) -> bool:
         """An owner that has ended must give nothing away, even if this controller holds the part again."""
         return self._active() and self._claims.acting(self.number)
@@ -208,6 +244,8 @@
             record = self._book.active.get(job.ref)
             if record is None or len(record.ranges) > MOST_RANGES or not job.waiting_bits or job.mistaken:
                 continue
+            if job.spec.team in message.short:
+                continue
             taken = self._stealable(job, bins, message.images, now)
             if taken:
                 ranges = record.ranges
@@ -253,7 +291,10 @@
             used.append((entry, machines))
             fitting += each * machines
         count = min(fitting, wanted)
-        if count <= 0 or (whole and fitting < wanted):
+        # An array that must stay in one part may run there a few at a time. Where none of its tasks has any room, it
+        # once waited for a part that could hold all of them, beside one with room for some.
+        few = whole and not spec.gang and not room_here
+        if count <= 0 or (whole and fitting < wanted and not few):
             return 0
         for entry, machines in used:
             entry[1] -= machines
--- a/badgerroute/coordination/users.py
+++ b/badgerroute/coordination/users.py
@@ -103,6 +103,9 @@
         ]
         if not fitting:
             return "a task fits no allowed machine type"
+        zones = {zone for kind in fitting for zone in kind.zones if job.zone in (None, zone)}
+        if job.gang and job.spread and job.tasks > 1 and (job.together or len(zones) < 2):
+            return "a gang that must be spread has one zone only"
         tasks = job.tasks if job.gang else 1
         if not Room(*team.limits).holds(Room(tasks * job.cpus, tasks * job.accelerators)):
             return "more than the team's limit"
--- a/badgerroute/protocol/mesh.py
+++ b/badgerroute/protocol/mesh.py
@@ -78,6 +78,7 @@
     thief: int
     bins: list[Bin]
     images: dict[str, tuple[float, float]]
+    short: list[str] = []  # teams of which work waits at the thief already, for want of a share
 
 
 class Lack(Struct, tag="lack"):
@@ -87,6 +88,7 @@
     team: str
     cpus: float
     accelerators: float
+    age_s: float = 0.0  # of the oldest job that lacks it
 
 
 class Borrow(Struct, tag="borrow"):
@@ -105,6 +107,20 @@
     host: str
 
 
-Message = Gossip | Push | Steal | Lack | Borrow | Knock
+class Withdrawn(Struct, tag="withdrawn"):
+    """Jobs that are withdrawn, with the revisions of their final states. Repeated until it is acknowledged."""
+
+    host: str
+    jobs: list[tuple[str, int]]
+
+
+class WithdrawnHeard(Struct, tag="withdrawn_heard"):
+    """These are known to be withdrawn here too."""
+
+    host: str
+    refs: list[str]
+
+
+Message = Gossip | Push | Steal | Lack | Borrow | Knock | Withdrawn | WithdrawnHeard
 encoder = msgspec.msgpack.Encoder()
 decoder = msgspec.msgpack.Decoder(Message)
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -177,6 +177,11 @@
         )
         return max(0, min(tasks, fitting))
 
+    def short_of_share(self, job: Job) -> bool:
+        """Whether a job waits for want of a share: a gang for the whole of it, an array for that of one task."""
+        needed = job.spec.tasks if job.gang else 1
+        return job.startable > 0 and self.fits_share(job, needed) < needed
+
     def room_for(self, job: Job) -> int:
         """How many of a job's tasks the free room of machines that it may use would hold."""
         return sum(
--- /dev/null
+++ b/tests/standins/waiting.py
@@ -0,0 +1,81 @@
+"""Watches, from outside, for jobs that are left waiting although they could run."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from tests.standins.day import Day
+    from tests.standins.workers import Worker
+
+SECOND = timedelta(seconds=1)
+LONGEST = 90 * SECOND
+
+
+class Waiting:
+    def __init__(self, day: Day) -> None:
+        self.day = day
+        self._since: dict[str, timedelta] = {}  # job -> since when it waits although it could run
+        self._on = False
+
+    def begin(self) -> None:
+        """From now on all troubles are over."""
+        self._since.clear()
+        self._on = True
+
+    def look(self) -> None:
+        """Called now and then."""
+        if not self._on:
+            return
+        day, now = self.day, self.day.loop.now()
+        running = {name.rpartition("/")[0] for name in day.rules.on}
+        for ref in day.accepted:
+            over = day.told.get(ref) in ("done", "withdrawn") or ref in day.site.withdrawn
+            finished = f"{ref}/{day.site.jobs[ref]['heads'] - 1}" in day.site.finished
+            if over or finished or ref in running or ref in day.site.mistaken or not self._could_run(ref):
+                self._since.pop(ref, None)
+            elif now - self._since.setdefault(ref, now) > LONGEST:
+                day.rules.breach("left_waiting", ref)
+                self._since[ref] = now
+
+    def _could_run(self, ref: str) -> bool:
+        """Whether machines with room fit the job (a gang: all of it at once) and its team is under its limit."""
+        job = self.day.site.jobs[ref]
+        gang = job["gait"] == "group"
+        needed = job["heads"] if gang else 1
+        limit = self.day.site.limits[job["crew"]]
+        if limit and self._used(job["crew"]) + needed * job["cpus"] > limit + 1e-6:
+            return False
+        rooms: dict[str, int] = {}
+        for worker in self.day.site.workers.values():
+            rooms[worker.zone] = rooms.get(worker.zone, 0) + self._room(worker, job)
+        if not gang:
+            return any(rooms.values())
+        if job["spread"]:
+            rooms = {zone: min(room, (needed + 1) // 2) for zone, room in rooms.items()}
+        return (max(rooms.values(), default=0) if job["together"] else sum(rooms.values())) >= needed
+
+    def _used(self, team: str) -> float:
+        jobs = self.day.site.jobs
+        return sum(
+            jobs[name.rpartition("/")[0]]["cpus"]
+            for name in self.day.rules.on
+            if jobs[name.rpartition("/")[0]]["crew"] == team
+        )
+
+    def _room(self, worker: Worker, job: dict) -> int:
+        """How many of a job's tasks a machine that is well has room for."""
+        if worker.hung or worker.deaf or worker.mute or worker.sick or worker.notice_at is not None:
+            return 0
+        if job["breeds"] is not None and worker.kind.name not in job["breeds"]:
+            return 0
+        if job["pasture"] not in (None, worker.zone) or (worker.spot and not job["strays"]):
+            return 0
+        cpus, memory = worker.kind.cpus, worker.kind.memory_gb
+        for task in worker.tasks.values():
+            if task.state != "exited":
+                other = self.day.site.jobs[task.ref]
+                cpus -= other["cpus"]
+                memory -= other["ram_gb"]
+        return max(0, int(min((cpus + 1e-6) / job["cpus"], (memory + 1e-6) / job["ram_gb"])))
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -55,6 +55,7 @@
     sick: bool = False
     hung: bool = False
     deaf: bool = False  # its reports go out, but neither answers nor commands reach it
+    mute: bool = False  # it reaches no controller, but commands reach it
     notice_at: timedelta | None = None
 
     def __post_init__(self) -> None:
@@ -98,6 +99,10 @@
             sent, session = self.loop.now(), self.session
             body = json.dumps(self.report()).encode()
             self.changed = Future()
+            if self.mute:
+                at = (at + 1) % len(hosts)
+                await self.loop.sleep(SECOND)
+                continue
             try:
                 response = await self.clients[hosts[at]].request("POST", "/checkin", body, 4 * SECOND)
             except Unanswered:
@@ -266,6 +271,7 @@
         self.broken: list[str] = []
         self.on: dict[str, Worker] = {}  # task -> the machine it is on
         self.starts = 0
+        self.late_starts: list[str] = []  # tasks of jobs whose cancellation had been asked for, and was then confirmed
         self.events: list[tuple[str, float, str]] = []  # machine, time, what
 
     def breach(self, rule: str, text: str) -> None:
@@ -296,6 +302,8 @@
         )
         if self.site.limits[team] and used > self.site.limits[team] + 1e-6:
             self.breach("quota", f"{team} uses {used}")
+        if self.site.withdrawn.get(task.ref, self.site.loop.now()) < self.site.loop.now():
+            self.late_starts.append(task.name)
         self.cancelled(task)
 
     def cancelled(self, task: Task) -> None:
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -14,6 +14,7 @@
 from badgerroute.transport.clock import VirtualClock
 from badgerroute.transport.http import BadMessage, Reader
 from badgerroute.transport.loop import Cancelled, Group, Loop, TimeLimit, VirtualPoller
+from tests.conftest import known_red, mark_red
 from tests.standins.day import SECOND, Day, job
 
 
@@ -334,3 +335,37 @@
     group.duty(fails, "fails", SECOND)
     one.run(one.spawn(one.sleep(3.5 * SECOND), "pause"))
     assert len(runs) == 4
+
+
+# -- Tests that may fail
+
+
+class _Item:
+    def __init__(self) -> None:
+        self.marks: list[pytest.MarkDecorator] = []
+
+    def add_marker(self, mark: pytest.MarkDecorator) -> None:
+        self.marks.append(mark)
+
+
+@pytest.mark.parametrize(
+    ("text", "named", "complaint"),
+    [
+        ("", [], None),
+        ("# none\n", [], None),
+        ("tests/a.py::test_a, a cause, 17\n", ["tests/a.py::test_a"], None),
+        ("tests/a.py::test_z, a cause, 17\n", [], "names no test"),
+        ("tests/a.py::test_a\n", [], "not `test, cause, issue`"),
+        ("tests/a.py::test_a, no issue\n", [], "not `test, cause, issue`"),
+        ("".join(f"tests/a.py::test_{one}, why, 1\n" for one in "abcd"), [], "4 lines"),
+    ],
+)
+def test_known_red(text: str, named: list[str], complaint: str | None) -> None:
+    items = {f"tests/a.py::test_{one}": _Item() for one in "abcd"}
+    if complaint is None:
+        mark_red(items, known_red(text), whole=True)
+        assert [name for name, item in items.items() if item.marks] == named
+        assert all(mark.kwargs["strict"] for item in items.values() for mark in item.marks)
+    else:
+        with pytest.raises(pytest.UsageError, match=complaint):
+            mark_red(items, known_red(text), whole=True)
