A team's limit goes where the order of service wants it; a claim that was handed over keeps its time limit

Cause: parts gave away only share that they had no use for, so the part that got a limit first kept it as long as it had work. Ruled out: stealing (on or off), the order within a part.

--- a/badgerroute/coordination/claims.py
+++ b/badgerroute/coordination/claims.py
@@ -181,12 +181,12 @@
         if held is not None and held.owner != self._me:
             return
         # Under our own name it is an earlier life of ours, which is over, or it was handed to us by an owner that
-        # had stopped before. But an owner before that may have been cut off, so its time limit is kept. Nor is that
-        # enough: a claim of ours for the absent key may have been carried out seconds late, after somebody else had
-        # held the part and been cut off, and then the time limit in it is too early.
-        until = self._now_of_day() + self._settings.grace.total_seconds()
-        if held is not None:
-            until = max(until, held.until)
+        # had stopped before. But an owner before that may have been cut off, so its time limit is kept. Where nobody
+        # handed it over that is not enough: a claim of ours for the absent key may have been carried out seconds late,
+        # after somebody else had held the part and been cut off, and then the time limit in it is too early.
+        until = held.until if held is not None else 0.0
+        if held is None or not held.handed:
+            until = max(until, self._now_of_day() + self._settings.grace.total_seconds())
         await self._write(part, self._replica.mark(self.key(part)), until)
 
     def _now_of_day(self) -> float:
@@ -245,7 +245,7 @@
         self._drop(part)
         try:
             key = self.key(part)
-            value = records.write(records.PartClaim(host, self._until(part)))
+            value = records.write(records.PartClaim(host, self._until(part), handed=True))
             mark = await self._state.transact([when(key, claim.term)], [put(key, value, lease)], Urgency.CLAIM)
             self._replica.learn(key, bytes(value), mark)
             log.info("event=part_handed_over part=%d to=%s", part, host)
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -51,6 +51,8 @@
 SUMMARY_KEPT = timedelta(milliseconds=400)
 REGISTER_LIMIT = timedelta(seconds=1)
 MOST_HASTY = 16  # machines that are told of withdrawn jobs in one round; the others hear by their reports
+PROMISED = timedelta(seconds=2.5)  # what another part lacks is asked for every second
+UNEVEN = 0.15  # of our share: what we may use more than a part whose jobs are our equals
 FORGET_AGAIN = timedelta(seconds=1)
 FORGET_AT_ONCE = 8  # a transaction as large as the budget's burst has to wait until nobody else writes
 GONE_PAGE = 100  # deleted machines on a page, which may be written anew for each of them
@@ -342,6 +344,7 @@
 
             self._expire(now)
             self._notices(now)
+            self.part.end_promises(now)
             self.part.settle()
             self.planner.release_holds(now)
             self.planner.gangs(now, over)
@@ -433,21 +436,29 @@
         lacks, self.planner.short_of_share = self.planner.short_of_share, {}
         for team, lack in lacks.items():
             if not await self._shares.raise_own(self.number, team, lack):
-                message = self._shares.ask(self.number, team, lack, self._oldest_short(team))
+                first = self._first_short(team)
+                if first is None:
+                    continue
+                rank, lack, age = first
+                message = self._shares.ask(self.number, team, lack, age, rank, self.part.usage[team].cpus)
                 if message is not None:
                     self.group.spawn(self._ask(message), "ask-share")
 
-    def _oldest_short(self, team: str) -> timedelta:
-        """The age of the oldest job of a team that waits here for want of a share."""
-        now = self._loop.now()
-        return max(
-            (
-                now - job.accepted
-                for job in self.part.jobs.values()
-                if job.spec.team == team and self.part.short_of_share(job)
-            ),
-            default=ZERO,
-        )
+    def _first_short(self, team: str) -> tuple[tuple[float, float, float], Room, timedelta] | None:
+        """Of a team's jobs that wait here for want of a share, the first in the order of service.
+
+        Their rank, what all of that rank lack together, and the age of the oldest.
+        """
+        short = [job for job in self.part.jobs.values() if job.spec.team == team and self.part.short_of_share(job)]
+        if not short:
+            return None
+        rank, now, lack = min(self.planner.rank(job) for job in short), self._loop.now(), Room()
+        first = [job for job in short if self.planner.rank(job) == rank]
+        for job in first:
+            count = job.startable
+            lack.cpus += count * job.need.cpus
+            lack.accelerators += count * job.need.accelerators
+        return rank, lack, max(now - job.accepted for job in first)
 
     async def _ask(self, message: mesh_wire.Lack) -> None:
         self.ask(message)
@@ -455,12 +466,23 @@
     ask: Callable[[mesh_wire.Lack], None] = staticmethod(lambda message: None)
 
     async def give_share(self, message: mesh_wire.Lack) -> None:
-        """Another part lacks a share: give what we neither use nor can use soon."""
+        """Another part lacks a share: give what we neither use nor can use soon, or what it has the better use for."""
+        team = message.team
         if not self.part.settled or not self._claims.acting(self.number):
             return
-        cpus, gpus = self._shares.of(self.number, message.team)
-        used = self.part.usage[message.team]
+        cpus, gpus = self._shares.of(self.number, team)
+        used = self.part.usage[team]
+        lack = Room(message.cpus, message.accelerators)
         spare = Room(cpus - used.cpus, gpus - used.accelerators)
+        keep = self._yield_to(message, lack, spare)
+        if keep is None:
+            spare.take(self._soon(message))
+        else:
+            lack = keep
+        await self._shares.give(self.number, message.part, team, lack, spare)
+
+    def _soon(self, message: mesh_wire.Lack) -> Room:
+        """What a team's jobs that wait here could use of its share."""
         soon = Room()
         for job in self.part.jobs.values():
             if job.spec.team != message.team:
@@ -477,10 +499,34 @@
                 room = self.part.room_for(job)
                 soon.cpus += min(count, room) * job.need.cpus
                 soon.accelerators += min(count, room) * job.need.accelerators
-        spare.take(soon)
-        await self._shares.give(
-            self.number, message.part, message.team, Room(message.cpus, message.accelerators), spare
-        )
+        return soon
+
+    def _yield_to(self, message: mesh_wire.Lack, lack: Room, spare: Room) -> Room | None:
+        """How much of our share another part should have though work waits for it here; None: nothing.
+
+        All that it lacks, if its jobs come before ours; if they are equal, so much that both use the same. What is not
+        free yet is kept for it as our tasks end. A part that had come to hold a limit kept it as long as it had work,
+        and urgent jobs in another part waited behind its idle ones.
+        """
+        ranks = [
+            self.planner.rank(job)
+            for job in self.part.jobs.values()
+            if job.spec.team == message.team and job.startable
+        ]
+        if message.rank is None or not ranks or message.rank > min(ranks):
+            return None
+        wanted = lack.copy()
+        if message.rank == min(ranks):
+            kept = self.part.promised.get(message.team, (Room(), ZERO))[0]  # free by now, but not for us
+            more = (self.part.usage[message.team].cpus + kept.cpus - message.used) / 2
+            if more <= UNEVEN * self._shares.of(self.number, message.team)[0]:
+                return None
+            wanted = Room(min(wanted.cpus, more), wanted.accelerators)
+        missing = Room(max(0.0, wanted.cpus - spare.cpus), max(0.0, wanted.accelerators - spare.accelerators))
+        used = self.part.usage[message.team]
+        missing = Room(min(missing.cpus, used.cpus), min(missing.accelerators, used.accelerators))
+        self.part.promise(message.team, missing, self._loop.now() + PROMISED)
+        return wanted
 
     # -- what others are told
 
--- a/badgerroute/coordination/shares.py
+++ b/badgerroute/coordination/shares.py
@@ -91,13 +91,15 @@
             await self._write(team, part, {part: (share[0] + cpus, share[1] + gpus)})
         return cpus >= lack.cpus - EPSILON and gpus >= lack.accelerators - EPSILON
 
-    def ask(self, part: int, team: str, lack: Room, age: timedelta) -> Lack | None:
+    def ask(
+        self, part: int, team: str, lack: Room, age: timedelta, rank: tuple[float, float, float] | None, used: float
+    ) -> Lack | None:
         """The question to the siblings, not more than once in a while."""
         now = self._loop.now()
         if now - self._asked.get((part, team), -ASK_AGAIN) < ASK_AGAIN:
             return None
         self._asked[part, team] = now
-        return Lack(part, team, lack.cpus, lack.accelerators, age.total_seconds())
+        return Lack(part, team, lack.cpus, lack.accelerators, age.total_seconds(), rank, used)
 
     async def give(self, giver: int, taker: int, team: str, lack: Room, spare: Room) -> None:
         """Move some of a part's unused share to another part."""
--- a/badgerroute/protocol/mesh.py
+++ b/badgerroute/protocol/mesh.py
@@ -89,6 +89,8 @@
     cpus: float
     accelerators: float
     age_s: float = 0.0  # of the oldest job that lacks it
+    rank: tuple[float, float, float] | None = None  # of the first of them in the order of service: less comes first
+    used: float = 0.0  # processors that the part uses of the team's limit
 
 
 class Borrow(Struct, tag="borrow"):
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -12,7 +12,7 @@
 
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.workers import Command, Report, TaskReport, split_task
-from badgerroute.scheduling.model import ZERO, Job, Machine, Phase, Placement, Room, allows, capacity_of
+from badgerroute.scheduling.model import EPSILON, ZERO, Job, Machine, Phase, Placement, Room, allows, capacity_of
 from badgerroute.storage.records import JobRecord, MachineRecord
 
 log = logging.getLogger("badgerroute.part")
@@ -91,6 +91,7 @@
         self.usage: defaultdict[str, Usage] = defaultdict(Usage)
         self.estimates = Estimates()
         self.settled = False  # every member fenced or provably rid of its tasks: until then nothing is placed
+        self.promised: dict[str, tuple[Room, timedelta]] = {}  # team -> of its share, what is kept for another part
         self._counter = 0
         self._fastest = 1e-6  # GB a second, of the machines ever here
 
@@ -171,12 +172,26 @@
     def fits_share(self, job: Job, tasks: int = 1) -> int:
         """How many of so many tasks the team's share still has room for."""
         cpus, accelerators = self.shares(job.spec.team)
+        if job.spec.team in self.promised:
+            kept = self.promised[job.spec.team][0]
+            cpus, accelerators = cpus - kept.cpus, accelerators - kept.accelerators
         used = self.usage[job.spec.team]
         fitting = Room(cpus - used.cpus, accelerators - used.accelerators).times(
             Room(job.need.cpus, job.need.accelerators)
         )
         return max(0, min(tasks, fitting))
 
+    def promise(self, team: str, room: Room, until: timedelta) -> None:
+        """As the team's tasks end here, start nothing in so much of its share: another part is to have it."""
+        if room.cpus > EPSILON or room.accelerators > EPSILON:
+            self.promised[team] = (room, until)
+        else:
+            self.promised.pop(team, None)
+
+    def end_promises(self, now: timedelta) -> None:
+        for team in [team for team, (_, until) in self.promised.items() if until < now]:
+            del self.promised[team]
+
     def short_of_share(self, job: Job) -> bool:
         """Whether a job waits for want of a share: a gang for the whole of it, an array for that of one task."""
         needed = job.spec.tasks if job.gang else 1
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -89,6 +89,10 @@
         """
         return (*self._class(job), self._tiers.get(job.ref, 0))
 
+    def rank(self, job: Job) -> tuple[float, float, float]:
+        """Where a job stands in the order of service, which is the same in all parts: less comes first."""
+        return float(-job.level), float(not job.guaranteed), float(self._tiers.get(job.ref, job.tier))
+
     @staticmethod
     def _class(job: Job) -> tuple[int, bool]:
         return (-job.level, not job.guaranteed)
--- a/badgerroute/storage/records.py
+++ b/badgerroute/storage/records.py
@@ -14,6 +14,7 @@
 
     owner: str
     until: float = 0.0
+    handed: bool = False  # written for its owner by the one before, which had stopped
 
 
 class FleetClaim(Struct):
--- a/tests/test_left_waiting.py
+++ b/tests/test_left_waiting.py
@@ -90,6 +90,29 @@
     assert day.rules.broken == []
 
 
+@pytest.mark.parametrize(
+    ("ranks", "least", "within"),
+    [(("idle", "urgent"), 20, 25), (("urgent", "urgent"), 4, 25), (("urgent", "idle"), 0, 25)],
+)
+def test_a_limit_does_not_stay_with_the_part_that_has_it(
+    ranks: tuple[str, str], least: int, within: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """One part has all of a team's limit, and work for it without end; then jobs of the team come to another part."""
+    day = Day(seed=37, machines=12, capacity=0)
+    split_to(monkeypatch, {"run-first": 0, "run-q": 1, "run-fill": 2})
+    day.run(5)
+    day.submit(job("run-fill", heads=400, cpus=1.0, crew="guests", rank="prod", trek_s=200.0))
+    day.run(4)
+    day.cancel("run-fill")
+    day.submit(job("run-first", heads=2000, crew="red", rank=ranks[0], trek_s=4.0))
+    assert day.until(lambda: running(day, "run-first") >= 23, 30)
+    day.submit(job("run-q", heads=400, crew="red", rank=ranks[1], trek_s=4.0))
+    reached = day.until(lambda: running(day, "run-q") >= max(1, least), within)
+    assert reached is bool(least)
+    assert least == 20 or running(day, "run-first") >= 10, "equals share, and what comes later waits"
+    assert day.rules.broken == []
+
+
 def test_the_checker_sees_work_left_waiting(monkeypatch: pytest.MonkeyPatch) -> None:
     """The days' check is worth something only if it catches a part that places nothing."""
     monkeypatch.setattr("badgerroute.scheduling.planner.Planner.fill", lambda self, *args: 0)
