--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -14,6 +14,7 @@
 from badgerroute.coordination.mesh import Mesh
 from badgerroute.coordination.outlook import Outlook
 from badgerroute.coordination.owner import Owner
+from badgerroute.coordination.pipelines import Pipelines
 from badgerroute.coordination.shares import Shares
 from badgerroute.coordination.trade import fits_bin
 from badgerroute.coordination.users import Users, answer, come_back, error
@@ -27,7 +28,7 @@
 from badgerroute.storage import records
 from badgerroute.storage.budget import Urgency
 from badgerroute.storage.cloud import CloudClient, CloudUnavailable, NoCapacity
-from badgerroute.storage.replica import CATALOG, GONE, JOBS, MACHINES, Replica
+from badgerroute.storage.replica import CATALOG, DONE, GONE, JOBS, MACHINES, Replica
 from badgerroute.storage.state import Conflicted, LeaseGone, StateClient, Unavailable, Unknown, put, when
 from badgerroute.transport.http import Request, Response, Server
 from badgerroute.transport.loop import Future, Gate, Group, Loop
@@ -74,6 +75,17 @@
         self.book.withdrawn = self.withdrawals.learned
         self.shares = Shares(settings, loop, self.state, self.replica, self._push, self._condition)
         self.catalog: dict[str, MachineType] = {}
+        self.book.known_types = lambda: self.catalog
+        self.book.released = self._tell_owners
+        self.pipelines = Pipelines(
+            loop,
+            self.state,
+            self.replica,
+            self.book,
+            lambda part: part in self.claims.parts,
+            lambda: self.claims.fleet is not None and self.claims.fresh(),
+            settings.home,
+        )
         self.fleet = Fleet(
             settings,
             loop,
@@ -98,6 +110,7 @@
         self._server = Server(
             loop, group, self._handle, max(16, sockets - direct - RESERVED_SOCKETS - 8 * params.size)
         )
+        self.replica.listen(DONE, self._page_changed)
         self.replica.listen(JOBS, self._job_changed)
         self.replica.listen(MACHINES, self._machine_changed)
         self.replica.listen(CATALOG, self._catalog_changed)
@@ -125,6 +138,9 @@
             (self.fleet.delete_duty, "delete"),
             (self._idle_duty, "idle"),
             (self.hearing.probe, "probe"),
+            (self.pipelines.resolve, "resolve"),
+            (self.pipelines.withdraw, "withdraw"),
+            (self.pipelines.tidy, "tidy"),
         ):
             self._group.duty(make, name, second)
         await Future()
@@ -149,6 +165,7 @@
         )
         owner.delete = self.fleet.delete
         owner.ask = self._ask_share
+        owner.resolved = self.pipelines.resolved
         owner.trade.borrow = self._ask_machines
         self.owners[part] = owner
         owner.start()
@@ -166,7 +183,12 @@
     # -- what the watch says
 
     def _job_changed(self, key: str, value: bytes | None, revision: int) -> None:
-        ref = key.removeprefix(JOBS)
+        self._tell_owners(key.removeprefix(JOBS))
+
+    def _page_changed(self, key: str, value: bytes | None, revision: int) -> None:
+        self._tell_owners(key.removeprefix(DONE).rpartition("/")[0])
+
+    def _tell_owners(self, ref: str) -> None:
         for owner in self.owners.values():
             if owner.ready:
                 owner.job_changed(ref)
@@ -217,19 +239,24 @@
                 else:
                     fresh = set(self.catalog) != {kind.name for kind in types}
                     self._know_types(types)
-                    if fresh or self.replica.value(CATALOG) is None:
+                    if fresh or not any(key.startswith(CATALOG) for key in self.replica.items):
                         await self._store_catalog(types)
             await self._loop.sleep(pause)
 
     async def _store_catalog(self, types: list[MachineType]) -> None:
-        value = records.write(CatalogRecord(types))
-        if len(bytes(value)) > self.settings.params.state.value_kb * 1024:
-            return
-        try:
-            mark = self.replica.mark(CATALOG)
-            await self.state.transact([when(CATALOG, mark)], [put(CATALOG, value)], Urgency.PROGRESS)
-        except (Unavailable, Unknown, Conflicted) as trouble:
-            log.debug("event=catalog_not_stored error=%s", trouble)
+        """In one key, or in one for each type where that would be too large: every version reads both."""
+        found = {CATALOG: records.write(CatalogRecord(types))}
+        if len(bytes(found[CATALOG])) > self.state.most_bytes:
+            found = {f"{CATALOG}/{kind.name}": records.write(CatalogRecord([kind])) for kind in types}
+        for key, value in found.items():
+            if self.replica.value(key) == bytes(value) or len(bytes(value)) > self.state.most_bytes:
+                continue
+            try:
+                at = await self.state.transact([when(key, self.replica.mark(key))], [put(key, value)], Urgency.PROGRESS)
+            except (Unavailable, Unknown, Conflicted) as trouble:
+                log.debug("event=catalog_not_stored error=%s", trouble)
+            else:
+                self.replica.learn(key, bytes(value), at)
 
     async def _gossip_duty(self) -> None:
         while True:
@@ -304,7 +331,8 @@
             record = self.book.active.get(one.ref)
             if record is None:
                 return 0, timedelta.max
-            return record.job.tasks - (record.done() | one.done).bit_count(), self.outlook.time_left(record)
+            done = self.book.done(one.ref, record) | one.done
+            return record.job.tasks - done.bit_count(), self.outlook.time_left(record)
 
         batch = sorted(merged.values(), key=order)
         await self.book.write_progress(batch, self._condition)
--- a/badgerroute/coordination/jobs.py
+++ b/badgerroute/coordination/jobs.py
@@ -2,16 +2,20 @@
 
 import logging
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable, Iterator
 from datetime import timedelta
+from math import inf
+
+import msgspec
 
 from badgerroute.protocol.state import Condition, Put, Remove
 from badgerroute.protocol.users import JobView, Submission
+from badgerroute.scheduling.dependencies import Dependencies
 from badgerroute.settings import Settings
 from badgerroute.storage import records
 from badgerroute.storage.budget import Urgency
-from badgerroute.storage.records import JobRecord, PastRecord
-from badgerroute.storage.replica import JOBS, PAST, Replica
+from badgerroute.storage.records import DonePage, JobRecord, PastRecord, PredecessorsPage
+from badgerroute.storage.replica import DONE, JOBS, PAST, PREDECESSORS, Replica
 from badgerroute.storage.state import (
     Conflicted,
     LeaseGone,
@@ -27,6 +31,8 @@
 log = logging.getLogger("badgerroute.jobs")
 MOST_FINAL = 20_000
 MOST_BYTES = 40_000  # of a transaction's 64 KiB
+PAGE_REFS = 24  # predecessors on a page: the same at every node, since each may write a page of a repeated submission
+MOST_LOOKED_UP = 40  # predecessors, for one answer
 READ_LIMIT = timedelta(milliseconds=1500)
 
 Pushed = Callable[[str, bytes | None, int], None]
@@ -47,8 +53,18 @@
         self._pushed = pushed
         self.withdrawn: Callable[[str, int, bool], None] = lambda ref, revision, at_once: None
         self.active: dict[str, JobRecord] = {}
-        self._final: OrderedDict[str, tuple[str, int]] = OrderedDict()  # state, and the revision that made it so
+        self.known_types: Callable[[], Container[str]] = lambda: ()
+        # state, the revision that made it so, and the time of day
+        self._final: OrderedDict[str, tuple[str, int, float]] = OrderedDict()
+        self._paged: dict[str, int] = {}  # job -> done tasks that are written down on pages
+        self.pages: dict[str, set[str]] = {}  # job -> its keys beside its record
+        self._lacking: set[str] = set()  # unfinished jobs whose predecessors we have not all seen yet
+        self._levels: dict[str, int] = {}  # of jobs that others wait for
+        self.dependencies = Dependencies(self._how_it_ended, self._released, self._doomed)
+        self.released: Callable[[str], None] = lambda ref: None
         self._confirming: set[str] = set()  # jobs whose users are about to be told that they are withdrawn
+        replica.listen(DONE, self._done_changed)
+        replica.listen(PREDECESSORS, self._predecessors_changed)
         replica.listen(JOBS, self._job_changed)
         replica.listen(PAST, self._past_changed)
 
@@ -58,28 +74,162 @@
         ref = key.removeprefix(JOBS)
         if value is None:
             self.active.pop(ref, None)
+            self._paged.pop(ref, None)
+            self._lacking.discard(ref)
+            self.dependencies.remove(ref)
+            return
+        self.active[ref] = record = records.read(value, JobRecord)
+        if record.job.predecessors or record.pages:
+            self._depend(ref, record)
+
+    def _depend(self, ref: str, record: JobRecord) -> None:
+        predecessors = self._predecessors(ref, record)
+        if predecessors is None:
+            self._lacking.add(ref)  # their pages were written before the record, so they come
         else:
-            self.active[ref] = records.read(value, JobRecord)
+            self._lacking.discard(ref)
+            self.dependencies.add(ref, predecessors)
+
+    def _predecessors(self, ref: str, record: JobRecord) -> list[str] | None:
+        found = list(record.job.predecessors or ())
+        for number in range(record.pages):
+            value = self._replica.value(f"{PREDECESSORS}{ref}/{number}")
+            if value is None:
+                return None
+            found += records.read(value, PredecessorsPage).refs
+        return found
+
+    def _predecessors_changed(self, key: str, value: bytes | None, revision: int) -> None:
+        ref = self._page_changed(key, PREDECESSORS, value)
+        if ref in self._lacking:
+            self._depend(ref, self.active[ref])
+
+    def _done_changed(self, key: str, value: bytes | None, revision: int) -> None:
+        ref = self._page_changed(key, DONE, value)
+        if value is not None:
+            number = int(key.rpartition("/")[2])
+            bits = records.unpack(records.read(value, DonePage).bits) << (number * records.PAGE_TASKS)
+            self._paged[ref] = self._paged.get(ref, 0) | bits
+
+    def _page_changed(self, key: str, prefix: str, value: bytes | None) -> str:
+        ref = key.removeprefix(prefix).rpartition("/")[0]
+        if value is not None:
+            self.pages.setdefault(ref, set()).add(key)
+        elif ref in self.pages:
+            self.pages[ref].discard(key)
+            if not self.pages[ref]:
+                del self.pages[ref]
+                self._paged.pop(ref, None)
+        return ref
 
     def _past_changed(self, key: str, value: bytes | None, revision: int) -> None:
         if value is not None:
-            self._remember(key.removeprefix(PAST), records.read(value, PastRecord).state, revision)
+            past = records.read(value, PastRecord)
+            self._remember(key.removeprefix(PAST), past.state, revision, past.at)
 
-    def _remember(self, ref: str, state: str, revision: int) -> None:
+    def _remember(self, ref: str, state: str, revision: int, at: float) -> None:
         """Final states never change, so they alone may be answered from memory."""
         fresh = ref not in self._final
-        self._final[ref] = (state, revision)
+        self._final[ref] = (state, revision, at)
         self._final.move_to_end(ref)
         if len(self._final) > MOST_FINAL:
             self._final.popitem(last=False)
         if fresh and state == "withdrawn":
             self.withdrawn(ref, revision, ref in self._confirming)
+        self.dependencies.finished(ref, state, at)
 
     def hear_withdrawn(self, ref: str, revision: int) -> None:
         """A sibling knows that a job is withdrawn, though our watch may not say so for a while."""
-        self._remember(ref, "withdrawn", revision)
+        self._remember(ref, "withdrawn", revision, 0.0)
         self._replica.learn(JOBS + ref, None, revision)
 
+    # -- jobs that wait for others
+
+    def _how_it_ended(self, ref: str) -> tuple[str, float] | None:
+        known = self._final.get(ref)
+        return (known[0], known[2]) if known else None
+
+    def _released(self, ref: str) -> None:
+        self.released(ref)
+
+    def _doomed(self, ref: str) -> None:
+        log.info("event=job_doomed job=%s", ref)
+
+    def waits(self, ref: str) -> bool:
+        """Whether a job waits for others: until it is released, it is not there for anything but questions."""
+        return ref in self._lacking or self.dependencies.waits(ref)
+
+    def there(self) -> Iterator[tuple[str, JobRecord]]:
+        """The unfinished jobs that do not wait for others: those that are there for planning."""
+        return ((ref, record) for ref, record in self.active.items() if not self.waits(ref))
+
+    def level(self, ref: str) -> int:
+        """Of a job's priority, or of that of a job which needs it, whichever is higher."""
+        own = self.active[ref].job.priority.level
+        return max(own, self._levels.get(ref, own))
+
+    def hand_levels_back(self) -> None:
+        """Dependents that have come, or were withdrawn, raise and lower what they need."""
+        own = lambda ref: -self.active[ref].job.priority.level if ref in self.active else inf  # noqa: E731
+        found = self.dependencies.handed_back(own, lambda ref: 0)
+        self._levels = {ref: -int(least) for ref, least in found.items() if least != inf}
+
+    def began(self, ref: str, record: JobRecord) -> float:
+        """The time of day from which a job's times count: when the last job that it needs was done."""
+        return max(record.accepted, self.dependencies.released_at(ref))
+
+    def done(self, ref: str, record: JobRecord) -> int:
+        """All tasks that are durably done, as a bit set."""
+        return record.done() | self._paged.get(ref, 0)
+
+    def unknown(self) -> list[str]:
+        """Predecessors of which neither is known that they are unfinished nor how they ended."""
+        return self.dependencies.unknown(self.active)
+
+    async def unaccepted(self, predecessors: Iterable[str]) -> list[str]:
+        """Which of these jobs nobody ever accepted: the state service says so, not our memory."""
+        missing = []
+        for ref in predecessors:
+            if ref in self.active or ref in self._final:
+                continue
+            if await self._read_through(ref, Urgency.SUBMIT) is None:
+                missing.append(ref)
+        return missing
+
+    async def at_first(self, ref: str) -> str:
+        """What to say of a job that was just accepted. `queued`, as far as can be told now, is no promise."""
+        try:
+            found = await self._decide(ref)
+        except Unavailable:
+            return "queued"
+        return "withdrawn" if found is not None and found[0] == "withdrawn" else "queued"
+
+    async def _decide(self, ref: str) -> tuple[str, JobRecord | None, int] | None:
+        """What stands of a job that waits, from our copy. None: it is over, or never was.
+
+        It is withdrawn if any job that it needs is, directly or through others, though its own record is still there.
+        Some node may have said so already, so what we don't know of these jobs has to be found out first.
+        """
+        for _ in range(MOST_LOOKED_UP):
+            record = self.active.get(ref)
+            if record is None:
+                return None
+            if ref in self.dependencies.doomed:
+                return "withdrawn", None, 0
+            if ref in self._lacking:
+                raise Unavailable("what the job waits for is not known yet")
+            unknown = next(iter(self.dependencies.unknown_ancestors(ref, self.active)), None)
+            if unknown is None:
+                return "active", record, self._replica.mark(JOBS + ref)
+            if await self._read_through(unknown, Urgency.READ) is None:
+                raise Unavailable(f"{unknown} is not known")
+        raise Unavailable("too many jobs to look up")
+
+    def over(self, ref: str, past: msgspec.Raw, revision: int) -> None:
+        """A final state of ours was written."""
+        self._change(JOBS + ref, None, revision)
+        self._change(PAST + ref, bytes(past), revision)
+
     def _change(self, key: str, value: bytes | None, revision: int) -> None:
         self._replica.learn(key, value, revision)
         self._pushed(key, value, revision)
@@ -88,6 +238,8 @@
 
     def final(self, ref: str) -> str | None:
         known = self._final.get(ref)
+        if known is None and ref in self.dependencies.doomed:
+            return "withdrawn"  # nothing can change that any more, and its own record follows
         return known[0] if known else None
 
     async def look_up(self, ref: str, urgency: Urgency = Urgency.READ) -> tuple[str, JobRecord | None, int] | None:
@@ -95,9 +247,16 @@
 
         A job moves only from `jobs` to `past`, in one transaction, so looking there in this order misses none.
         """
-        final = self._final.get(ref)
+        final = self.final(ref)
         if final is not None:
-            return final[0], None, final[1]
+            return final, None, 0
+        found = await self._read_through(ref, urgency)
+        if found is not None and self.waits(ref):
+            await self._replica.current()
+            return await self._decide(ref) or await self._read_through(ref, urgency)
+        return found
+
+    async def _read_through(self, ref: str, urgency: Urgency) -> tuple[str, JobRecord | None, int] | None:
         item = await self._state.get(JOBS + ref, urgency)
         if item is not None:
             self._replica.learn(item.key, bytes(item.value), item.revision)
@@ -106,12 +265,16 @@
 
     async def current(self, ref: str) -> tuple[str, JobRecord | None, int] | None:
         """The same from our copy, once that has caught up with the state service: for the many who only look."""
-        final = self._final.get(ref)
+        final = self.final(ref)
         if final is None:
             await self._replica.current()
-            final = self._final.get(ref)
+            if self.waits(ref):
+                found = await self._decide(ref)
+                if found is not None:
+                    return found
+            final = self.final(ref)
         if final is not None:
-            return final[0], None, final[1]
+            return final, None, 0
         record = self.active.get(ref)
         if record is not None:
             return "active", record, self._replica.mark(JOBS + ref)
@@ -121,18 +284,18 @@
         past = await self._state.get(PAST + ref, urgency)
         if past is None:
             return None
-        state = records.read(bytes(past.value), PastRecord).state
-        self._remember(ref, state, past.revision)
+        known = records.read(bytes(past.value), PastRecord)
+        state = known.state
+        self._remember(ref, state, past.revision, known.at)
         # It left `jobs` in the same transaction. Until the watch says so, a controller that had just told a user that
         # the job is withdrawn could still have started a task of it.
         self._replica.learn(JOBS + ref, None, past.revision)
         return state, None, past.revision
 
-    @staticmethod
-    def view(ref: str, state: str, record: JobRecord | None, running: int) -> JobView:
+    def view(self, ref: str, state: str, record: JobRecord | None, running: int) -> JobView:
         if record is None:
             return JobView(ref, state)
-        done = record.done().bit_count()
+        done = self.done(ref, record).bit_count()
         running = min(running, record.job.tasks - done)
         return JobView(ref, "running" if running else "queued", done, running)
 
@@ -141,8 +304,13 @@
     async def accept(self, job: Submission, ranges: list[tuple[int, int, int]]) -> bool:
         """Store a new job. False: it is known already. Unknown outcomes are read back."""
         key = JOBS + job.ref
-        record = JobRecord(job, self._loop.clock.today().timestamp(), ranges)
+        record, pages = self._compact(JobRecord(job, self._today(), ranges))
         value = records.write(record)
+        for first in range(0, len(pages), self._state.most_changes):  # before the record: whoever sees it has them
+            written = pages[first : first + self._state.most_changes]
+            at = await self._state.transact([], [put(*one) for one in written], Urgency.SUBMIT, READ_LIMIT)
+            for one, refs in written:
+                self._change(one, bytes(refs), at)
         try:
             mark = await self._state.transact(
                 [when(key, 0), when(PAST + job.ref, 0)], [put(key, value)], Urgency.SUBMIT, READ_LIMIT
@@ -156,6 +324,71 @@
         self._change(key, bytes(value), mark)
         return True
 
+    def _today(self) -> float:
+        return self._loop.clock.today().timestamp()
+
+    def fits(self, record: JobRecord) -> bool:
+        """Whether a record may be written as it is."""
+        return len(bytes(records.write(record))) <= self._state.most_bytes
+
+    def _compact(self, record: JobRecord) -> tuple[JobRecord, list[tuple[str, msgspec.Raw]]]:
+        """A record that fits, and the pages for what did not."""
+        pages: list[tuple[str, msgspec.Raw]] = []
+        refs = list(dict.fromkeys(record.job.predecessors or ()))
+        if refs and not self.fits(record):
+            for number, first in enumerate(range(0, len(refs), PAGE_REFS)):
+                page = PredecessorsPage(refs[first : first + PAGE_REFS])
+                pages.append((f"{PREDECESSORS}{record.job.ref}/{number}", records.write(page)))
+            job = msgspec.structs.replace(record.job, predecessors=None)
+            record = msgspec.structs.replace(record, job=job, pages=len(pages))
+        return self._slim(record), pages
+
+    def _slim(self, record: JobRecord) -> JobRecord:
+        """Without the machine types that there are not, if the record is too large with them."""
+        known = self.known_types()
+        types = [one for one in record.job.types or () if one in known]
+        if not types or self.fits(record):
+            return record
+        return msgspec.structs.replace(record, job=msgspec.structs.replace(record.job, types=types))
+
+    async def spill(self, ref: str) -> None:
+        """Make a record that an older version left too large small enough to be written again.
+
+        The bits of done tasks go to pages, in as many writes as it takes, and the record itself last. Until then it
+        holds them too, and from then on the pages do, so none is lost wherever this stops. It may be done by anybody.
+        """
+        record, mark = self.active.get(ref), self._replica.mark(JOBS + ref)
+        if record is None:
+            return
+        done, known = self.done(ref, record), self._paged.get(ref, 0)
+        pages: list[tuple[str, msgspec.Raw]] = []
+        last = -(-record.job.tasks // records.PAGE_TASKS)
+        for number in range(records.trailing_ones(done) // records.PAGE_TASKS, last):
+            bits = records.page_of(done, number)
+            if bits != records.page_of(known, number):
+                pages.append((self._page(ref, number), records.write(DonePage(records.pack(bits)))))
+        small = self._slim(record.without_bits(done))
+        if not self.fits(small):
+            log.info("event=record_too_large job=%s", ref)
+            return
+        changes = [*pages, (JOBS + ref, records.write(small))]
+        for first in range(0, len(changes), self._state.most_changes):
+            written = changes[first : first + self._state.most_changes]
+            conditions = [when(JOBS + ref, mark)]
+            conditions += [when(key, self._replica.mark(key)) for key, _ in written if key != JOBS + ref]
+            try:
+                at = await self._state.transact(conditions, [put(*one) for one in written], Urgency.PROGRESS)
+            except (Conflicted, Unavailable, Unknown, LeaseGone) as error:
+                log.info("event=spill_delayed job=%s error=%s", ref, error)
+                return
+            for key, value in written:
+                self._change(key, bytes(value), at)
+        log.info("event=record_spilled job=%s pages=%d", ref, len(pages))
+
+    @staticmethod
+    def _page(ref: str, number: int) -> str:
+        return f"{DONE}{ref}/{number}"
+
     async def cancel(self, ref: str) -> str | None:
         """The final state after a cancellation; None: nobody submitted such a job.
 
@@ -175,15 +408,14 @@
             state, record, mark = found
             if record is None:
                 return state
-            past = records.write(PastRecord("withdrawn", record.job.tasks))
+            past = records.write(PastRecord("withdrawn", record.job.tasks, self._today()))
             try:
                 at = await self._state.transact(
                     [when(JOBS + ref, mark)], [remove(JOBS + ref), put(PAST + ref, past)], Urgency.CANCEL, READ_LIMIT
                 )
             except Conflicted:
                 continue  # progress was written in between
-            self._change(JOBS + ref, None, at)
-            self._change(PAST + ref, bytes(past), at)
+            self.over(ref, past, at)
             log.info("event=job_withdrawn job=%s", ref)
             return "withdrawn"
         raise Unavailable("too much changes at once")
@@ -199,7 +431,8 @@
             over: list[JobRecord] = []
             size = 0
             for one in batch:
-                if size > MOST_BYTES or len(changes) + 2 > self._settings.params.state.txn_ops:
+                room = self._state.most_changes - len(changes)
+                if size > MOST_BYTES or room < 2:
                     break  # what is left comes with the next write
                 record = self.active.get(one.ref)
                 held = [claims(part) for part in one.parts]
@@ -208,17 +441,20 @@
                 key = JOBS + one.ref
                 for condition in (*held, when(key, self._replica.mark(key))):
                     conditions[condition.key] = condition
-                done = record.done() | one.done
+                known = self.done(one.ref, record)
+                done = known | one.done
                 if done.bit_count() >= record.job.tasks:
-                    past = records.write(PastRecord("done", record.job.tasks))
+                    past = records.write(PastRecord("done", record.job.tasks, self._today()))
                     changes += [remove(key), put(PAST + one.ref, past)]
                     results += [(key, None), (PAST + one.ref, bytes(past))]
                     over.append(record)
-                elif done != record.done():
-                    value = records.write(record.with_done(done))
-                    changes.append(put(key, value))
-                    size += len(bytes(value))
-                    results.append((key, bytes(value)))
+                elif done != known:
+                    for where, value in self._progress(one.ref, record, known, done)[:room]:
+                        if where != key:
+                            conditions[where] = when(where, self._replica.mark(where))
+                        changes.append(put(where, value))
+                        size += len(bytes(value))
+                        results.append((where, bytes(value)))
             if not changes:
                 return
             try:
@@ -240,6 +476,20 @@
                 self._change(key, value, at)
             return
 
+    def _progress(self, ref: str, record: JobRecord, known: int, done: int) -> list[tuple[str, msgspec.Raw]]:
+        """What to write for a job with these tasks done: its record, or if that would be too large, pages beside it."""
+        whole = record.with_done(done)
+        if self.fits(whole):
+            return [(JOBS + ref, records.write(whole))]
+        fresh, paged = done & ~known, self._paged.get(ref, 0)
+        found = []
+        for number in range(-(-record.job.tasks // records.PAGE_TASKS)):
+            bits = records.page_of(fresh, number)
+            if bits:
+                page = DonePage(records.pack(records.page_of(paged, number) | bits))
+                found.append((self._page(ref, number), records.write(page)))
+        return found
+
     async def refresh(self, keys: Iterable[str]) -> None:
         """Read back keys whose state is in doubt."""
         for key in keys:
--- a/badgerroute/coordination/outlook.py
+++ b/badgerroute/coordination/outlook.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 from datetime import timedelta
+from math import inf
 
 from badgerroute.coordination.jobs import JobBook
 from badgerroute.coordination.owner import Owner
@@ -21,6 +22,8 @@
 from badgerroute.transport.loop import Loop
 
 HUNGRY = timedelta(seconds=160)  # a job that has not begun by then comes first, however late it is
+BETWEEN_REPORTS = 2  # that pass between the end of a stage and the start of the next
+BETWEEN = timedelta(seconds=5)  # and what else does: writing it down, an image to fetch
 FIRST = -1  # tier of such a job
 LEAST_SHARE = 0.25  # of the processors that small tasks get at least, beside the gangs
 
@@ -40,36 +43,67 @@
         self._owners, self._summaries = owners, summaries
         self._teams: dict[str, Team] = {team.name: team for team in settings.params.teams}
         self._objectives = Objectives(settings.params.objectives)
+        self._between = BETWEEN_REPORTS * settings.params.workers.report + BETWEEN
         self._types: dict[str, str] = {}  # member -> machine type, which never changes
 
     def update(self) -> None:
         """Tell the owners' jobs what can be expected of them."""
+        self._book.hand_levels_back()
         if not self._owners:
             return
         within: dict[str, bool] = {}
         left: dict[str, int] = {}
         used: dict[str, Room] = {}
-        for ref, record in sorted(self._book.active.items(), key=lambda one: one[1].accepted):
+        for ref, record in sorted(self._book.there(), key=lambda one: self._book.began(*one)):
             team = self._teams.get(record.job.team)
             if team is None:
                 continue
-            left[ref] = record.job.tasks - record.done().bit_count()
+            left[ref] = record.job.tasks - self._book.done(ref, record).bit_count()
             room = used.setdefault(team.name, Room())
             room.add(Room(left[ref] * record.job.cpus, left[ref] * record.job.accelerators))
             within[ref] = Room(team.cpus, team.gpus).holds(room)
-        ranks = self._tiers(left, within)
+        needed = self._needed_by()
+        ranks = self._tiers(left, within, needed)
+        now, today = self._loop.now(), self._today()
         for owner in self._owners.values():
             for job in owner.part.jobs.values():
                 job.guaranteed = within.get(job.ref, False)
                 job.tier = ranks.get(job.ref, 0)
+                record = self._book.active.get(job.ref)
+                if record is None:
+                    continue
+                owner.part.set_level(job, self._book.level(job.ref))
+                due = needed.get(job.ref)
+                job.start_by = due and now + timedelta(seconds=due - today) - self._run_time(record)
 
-    def _tiers(self, left: dict[str, int], within: dict[str, bool]) -> dict[str, float]:
+    def _today(self) -> float:
+        return self._loop.clock.today().timestamp()
+
+    def _needed_by(self) -> dict[str, float]:
+        """The times of day by which jobs that others wait for should be done, so that the last of them is in time.
+
+        Counted backwards from the last one's deadline, by the time that each stage in between is expected to take.
+        """
+
+        def own(ref: str) -> float:
+            record = self._book.active.get(ref)
+            deadline = record and self._objectives.deadline(record.job)
+            return record.accepted + deadline.total_seconds() if deadline else inf
+
+        def length(ref: str) -> float:
+            record = self._book.active.get(ref)
+            return (self._run_time(record) + self._between).total_seconds() if record else 0.0
+
+        found = self._book.dependencies.handed_back(own, length)
+        return {ref: due for ref, due in found.items() if due != inf}
+
+    def _tiers(self, left: dict[str, int], within: dict[str, bool], needed: dict[str, float]) -> dict[str, float]:
         processors = self._processors()
         running: dict[str, int] = {}
         for summary in self._summaries():
             for ref, count in summary.running.items():
                 running[ref] = running.get(ref, 0) + count
-        today = self._loop.clock.today().timestamp()
+        today = self._today()
         mistaken = {job.ref for owner in self._owners.values() for job in owner.part.jobs.values() if job.mistaken}
         groups: dict[tuple[int, bool], list[Load]] = {}
         hungry: set[str] = set()
@@ -78,15 +112,19 @@
             spec = record.job
             if spec.gang or spec.cpus <= 0 or ref in mistaken:
                 continue
-            age = timedelta(seconds=max(0.0, today - record.accepted))
+            began = self._book.began(ref, record)
+            age = timedelta(seconds=max(0.0, today - began))
             limit = min(processors, self._teams[spec.team].limits[0])
             at_once = max(1, int(limit / spec.cpus))
             if age > HUNGRY and spec.tasks - count + running.get(ref, 0) < min(spec.tasks, at_once):
                 hungry.add(ref)
             run = self._run_time(record)
             waves = -(-count // at_once)
-            due = sorted(one - age for one in self._objectives.due(spec))
-            group = (-spec.priority.level, not within[ref])
+            due = [one - age for one in self._objectives.due(spec, timedelta(seconds=began - record.accepted))]
+            if ref in needed:
+                due.append(timedelta(seconds=needed[ref] - today))
+            due.sort()
+            group = (-self._book.level(ref), not within[ref])
             groups.setdefault(group, []).append(Load(ref, count * spec.cpus * run, waves * run, due))
         found = tiers([groups[one] for one in sorted(groups)], processors)
         found.update(dict.fromkeys(hungry, FIRST))
@@ -94,8 +132,10 @@
 
     def time_left(self, record: JobRecord) -> timedelta:
         """Until the next time by which the job should be complete."""
-        age = timedelta(seconds=self._loop.clock.today().timestamp() - record.accepted)
-        return min((due - age for due in self._objectives.due(record.job) if due > age), default=timedelta.max)
+        began = self._book.began(record.job.ref, record)
+        age = timedelta(seconds=self._today() - began)
+        dues = self._objectives.due(record.job, timedelta(seconds=began - record.accepted))
+        return min((due - age for due in dues if due > age), default=timedelta.max)
 
     def _run_time(self, record: JobRecord) -> timedelta:
         correction = 1.0
@@ -115,7 +155,7 @@
                 kind = self._types[key] = records.read(self._replica.value(key), records.MachineRecord).type
             if kind in self._catalog:
                 total[kind] = total.get(kind, 0.0) + self._catalog[kind].cpus
-        gangs = [one.job for one in self._book.active.values() if one.job.gang]
+        gangs = [one.job for _, one in self._book.there() if one.job.gang]
         fitting = {
             kind for kind in total for job in gangs if capacity_of(self._catalog[kind]).holds(need_of(job))
         }  # machine types that gangs can use
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/owner.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
 
 from badgerroute.coordination import hearing, summary
@@ -59,6 +59,10 @@
 GONE_NAME = 64  # bytes that a name may take, at twice a page's length
 
 
+async def _at_once() -> None:
+    """Nothing to wait for."""
+
+
 class Owner:
     """Everything a controller does for one part it owns. Ended by `close` when the claim is lost."""
 
@@ -94,7 +98,8 @@
         self.grace = claim.grace
         self.ready = False
         self.delete: Callable[[list[str]], None] = lambda names: None
-        self._window = records.window(settings.params.state.value_kb)
+        self.resolved: Callable[[], Coroutine[object, object, None]] = _at_once  # how jobs ended that others wait for
+        self._window = records.window(state.most_bytes)
         self._fencing: set[str] = set()
         self._given_up: set[str] = set()  # neither answers nor commands reach them
         self.registrar = Registrar(loop, self.group, state, replica, push)
@@ -113,7 +118,7 @@
         )
         self.progress: set[str] = set()
         self._most_members = 0
-        self._gone_most = max(1, min(GONE_PAGE, int(settings.params.state.value_kb * 1024) // GONE_NAME))
+        self._gone_most = max(1, min(GONE_PAGE, state.most_bytes // GONE_NAME))
         self._summary: tuple[timedelta, mesh_wire.PartSummary] | None = None
         self._raising: Future | None = None
 
@@ -129,6 +134,7 @@
     async def _take_over(self) -> None:
         """Rebuild the part from the state service and its machines before anything is placed."""
         await self._replica.caught_up(self.part.term)  # no write of the former owner comes after this
+        await self.resolved()
         while not self._catalog:
             await self._loop.sleep(timedelta(milliseconds=100))
         now = self._loop.now()
@@ -254,9 +260,15 @@
         if record is None:
             self.part.drop_job(ref)
             return
+        if self._book.waits(ref):
+            return  # until we ourselves have seen it released, nothing of it is there
         now = self._loop.now()
-        age = timedelta(seconds=self._loop.clock.today().timestamp() - record.accepted)
-        self.part.add_job(record, now - max(ZERO, age), self._window, now)
+        age = timedelta(seconds=self._loop.clock.today().timestamp() - self._book.began(ref, record))
+        held_back = timedelta(seconds=self._book.began(ref, record) - record.accepted)
+        done = self._book.done(ref, record)
+        job = self.part.add_job(record, now - max(ZERO, age), self._window, now, done, held_back)
+        if job is not None:
+            self.part.set_level(job, self._book.level(ref))
 
     # -- reports
 
@@ -538,7 +550,7 @@
         now = self._loop.now()
         if self._summary is None or now - self._summary[0] >= SUMMARY_KEPT:
             ahead = rents_ahead(self._settings, self._catalog)
-            levels = {record.job.priority.level for record in self._book.active.values() if record.job.gang}
+            levels = {self._book.level(ref) for ref, record in self._book.there() if record.job.gang}
             silent = self.silent() > 0
             self._summary = (now, summary.summarize(self.part, self.planner, levels, ahead, now, silent))
         return self._summary[1]
@@ -565,7 +577,7 @@
         self.part.settle()
         while names and self.number in self._claims.parts:
             key, known = self._gone_page()
-            batch = names[: min(self._state.limits.txn_ops - 1, self._gone_most - len(known), FORGET_AT_ONCE)]
+            batch = names[: min(self._state.most_changes - 1, self._gone_most - len(known), FORGET_AT_ONCE)]
             gone = records.write(GoneRecord([*known, *(one for one in batch if one not in known)]))
             members = [MACHINES + name for name in batch if self._replica.mark(MACHINES + name)]
             changes = [put(key, gone), *(remove(one) for one in members)]
--- /dev/null
+++ b/badgerroute/coordination/pipelines.py
@@ -0,0 +1,146 @@
+"""Duties for jobs that wait for others: find out how predecessors ended, withdraw dependents, tidy up.
+
+Each can be resumed by any controller from records alone. Their writes are conditional, and what they write follows from
+final states, so it does not matter who does them, or whether two do.
+"""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from badgerroute.coordination.jobs import JobBook
+from badgerroute.protocol.state import Put, Remove
+from badgerroute.storage import records
+from badgerroute.storage.budget import Urgency
+from badgerroute.storage.records import JobRecord, PastRecord
+from badgerroute.storage.replica import JOBS, PAST, Replica
+from badgerroute.storage.state import Conflicted, LeaseGone, StateClient, Unavailable, Unknown, put, remove, when
+from badgerroute.transport.clock import ZERO
+from badgerroute.transport.loop import Loop
+
+log = logging.getLogger("badgerroute.pipelines")
+TICK = timedelta(milliseconds=200)
+ASK_AGAIN = timedelta(seconds=2)
+MOST_ASKED = 25  # in one round
+OTHERS_WAIT = timedelta(seconds=3)  # before a controller that owns nothing of a withdrawn job does it too
+TIDY = timedelta(seconds=10)
+FORGOTTEN = timedelta(seconds=60)  # pages are written before their job's record
+RESOLVE_LIMIT = timedelta(seconds=3)
+
+
+class Pipelines:
+    """`owned` tells whether a part is ours, `tidies` whether this controller removes what is of no use any more."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        state: StateClient,
+        replica: Replica,
+        book: JobBook,
+        owned: Callable[[int], bool],
+        tidies: Callable[[], bool],
+        turn: int,
+    ) -> None:
+        self._loop, self._state, self._replica, self._book = loop, state, replica, book
+        self._owned, self._tidies, self._turn = owned, tidies, turn
+        self._asked: dict[str, timedelta] = {}
+        self._seen: dict[str, timedelta] = {}  # withdrawn jobs whose own record is still to be written
+        self._idle: dict[str, timedelta] = {}  # jobs with pages, but without a record, since when
+
+    # -- how predecessors ended
+
+    async def resolve(self) -> None:
+        """After a start nobody tells how jobs ended that were over before; nor if a message was missed."""
+        while True:
+            await self._loop.sleep(TICK)
+            now = self._loop.now()
+            self._asked = {ref: at for ref, at in self._asked.items() if now - at < ASK_AGAIN}
+            unknown = [ref for ref in self._book.unknown() if ref not in self._asked]
+            try:
+                for ref in unknown[:MOST_ASKED]:
+                    self._asked[ref] = now
+                    await self._book.look_up(ref, Urgency.COMPLETE)
+            except Unavailable as error:
+                log.info("event=predecessors_unknown jobs=%d error=%s", len(unknown), error)
+                await self._loop.sleep(5 * TICK)
+
+    async def resolved(self) -> None:
+        """Wait, not for ever, until no predecessor is unknown.
+
+        A part that is taken over before would take the tasks of jobs that were released long ago for strays.
+        """
+        end = self._loop.now() + RESOLVE_LIMIT
+        while self._book.unknown() and self._loop.now() < end:
+            await self._loop.sleep(TICK / 4)
+
+    # -- what is withdrawn with a predecessor
+
+    async def withdraw(self) -> None:
+        while True:
+            await self._loop.sleep(TICK)
+            due = self._due()
+            while due:
+                batch, due = due[: max(1, self._state.most_changes // 2)], due[max(1, self._state.most_changes // 2) :]
+                try:
+                    await self._withdraw(batch)
+                except (Unavailable, Unknown, Conflicted, LeaseGone) as error:
+                    log.info("event=withdrawal_delayed jobs=%d error=%s", len(batch), error)
+                    await self._loop.sleep(2 * TICK)
+                    break
+
+    def _due(self) -> list[str]:
+        now, doomed = self._loop.now(), self._book.dependencies.doomed
+        self._seen = {ref: self._seen.get(ref, now) for ref in doomed}
+        return [ref for ref, since in self._seen.items() if now - since >= self._patience(ref)]
+
+    def _patience(self, ref: str) -> timedelta:
+        """The owner of a job's first tasks comes first, so that the others' writes do not fail for nothing."""
+        record = self._book.active.get(ref)
+        if record is not None and record.ranges and self._owned(record.ranges[0][0]):
+            return ZERO
+        return OTHERS_WAIT + self._turn * OTHERS_WAIT / 3
+
+    async def _withdraw(self, refs: list[str]) -> None:
+        jobs: list[tuple[str, JobRecord]] = []
+        for ref in refs:
+            record = self._book.active.get(ref)
+            if record is not None and self._replica.mark(JOBS + ref):
+                jobs.append((ref, record))
+        if not jobs:
+            return
+        today = self._loop.clock.today().timestamp()
+        pasts = {ref: records.write(PastRecord("withdrawn", record.job.tasks, today)) for ref, record in jobs}
+        changes: list[Put | Remove] = []
+        for ref, past in pasts.items():
+            changes += [remove(JOBS + ref), put(PAST + ref, past)]
+        conditions = [when(JOBS + ref, self._replica.mark(JOBS + ref)) for ref in pasts]
+        at = await self._state.transact(conditions, changes, Urgency.COMPLETE)
+        for ref, past in pasts.items():
+            self._book.over(ref, past, at)
+        log.info("event=withdrawn_with_predecessor jobs=%s", ",".join(pasts))
+
+    # -- pages of jobs that are over
+
+    async def tidy(self) -> None:
+        while True:
+            await self._loop.sleep(TIDY)
+            now = self._loop.now()
+            self._idle = {ref: self._idle.get(ref, now) for ref in self._book.pages if ref not in self._book.active}
+            if not self._tidies():
+                continue
+            try:
+                for ref in [ref for ref, since in self._idle.items() if now - since >= FORGOTTEN]:
+                    await self._tidy(ref)
+            except (Unavailable, Unknown, Conflicted, LeaseGone) as error:
+                log.info("event=tidying_delayed error=%s", error)
+
+    async def _tidy(self, ref: str) -> None:
+        found = await self._book.look_up(ref, Urgency.PROGRESS)
+        if found is not None and found[1] is not None:
+            return  # it is not over
+        keys = sorted(self._book.pages.get(ref, ()))[: self._state.most_changes]
+        conditions = [when(key, self._replica.mark(key)) for key in keys]
+        if keys:
+            at = await self._state.transact(conditions, [remove(key) for key in keys], Urgency.PROGRESS)
+            for key in keys:
+                self._replica.learn(key, None, at)
--- a/badgerroute/coordination/registrar.py
+++ b/badgerroute/coordination/registrar.py
@@ -39,7 +39,7 @@
         try:
             await self._loop.sleep(timedelta(milliseconds=20))  # machines that come up together go in together
             while self._waiting:
-                names = list(self._waiting)[: self._state.limits.txn_ops]
+                names = list(self._waiting)[: self._state.most_changes]
                 batch = {name: self._waiting.pop(name) for name in names}
                 written: set[str] = set()
                 try:
--- a/badgerroute/coordination/trade.py
+++ b/badgerroute/coordination/trade.py
@@ -122,8 +122,7 @@
             )
             self._passed_on = {ref: at for ref, at in self._passed_on.items() if now - at < PASS_ON_PAUSE}
             self._passed_on[job.ref] = now
-            ranges = [(target.part, 0, job.spec.tasks)]
-            moved = records.JobRecord(record.job, record.accepted, ranges, record.base, record.bits)
+            moved = msgspec.structs.replace(record, ranges=[(target.part, 0, job.spec.tasks)])
             log.info("event=gang_passed_on job=%s from=%d to=%d", job.ref, self.number, target.part)
             await self._write_steal([(job.ref, moved)], target.part)
 
@@ -160,7 +159,7 @@
         given: list[Machine] = []
         slots = 0
         for machine in self.part.machines.values():
-            if slots >= message.count or len(given) >= self._state.limits.txn_ops:
+            if slots >= message.count or len(given) >= self._state.most_changes:
                 break
             fits = machine.usable and machine.empty and machine.held_for is None and machine.free.holds(need)
             if fits and allows(message.job, machine.kind.name, machine.zone, machine.spot):
@@ -239,7 +238,7 @@
         now = self._loop.now()
         jobs = sorted(self.part.jobs.values(), key=lambda job: (not job.guaranteed, -job.level, job.accepted))
         for job in jobs:
-            if len(changes) >= min(6, self._state.limits.txn_ops):
+            if len(changes) >= min(6, self._state.most_changes):
                 break
             record = self._book.active.get(job.ref)
             if record is None or len(record.ranges) > MOST_RANGES or not job.waiting_bits or job.mistaken:
@@ -254,9 +253,7 @@
                     length = records.trailing_ones(taken >> first)
                     taken &= ~records.span(first, first + length)
                     ranges = records.give(ranges, first, first + length, message.thief)
-                changes.append(
-                    (job.ref, records.JobRecord(record.job, record.accepted, ranges, record.base, record.bits))
-                )
+                changes.append((job.ref, msgspec.structs.replace(record, ranges=ranges)))
         if changes:
             await self._write_steal(changes, message.thief)
 
@@ -318,6 +315,10 @@
             job = self.part.jobs.get(ref)
             if job is None:
                 continue
+            if not self._book.fits(record):
+                # An older version may have left it larger than may be written now: it is traded once it is smaller.
+                self._group.spawn(self._book.spill(ref), "spill")
+                continue
             given = job.owned & ~record.owned(self.number)
             if given & (job.placed_bits | job.giving):
                 # Between the choice and this write a task of it was placed: once, a gang was passed on while the
--- a/badgerroute/coordination/users.py
+++ b/badgerroute/coordination/users.py
@@ -62,7 +62,7 @@
                 return known
             if not self._catalog:
                 return come_back("machine types are not known yet")
-            problem = self._impossible(job)
+            problem = self._impossible(job) or await self._unaccepted(job)
             if problem is not None:
                 # Whoever accepted it may have known better: only a job that nobody knows can be refused.
                 found = await self._book.look_up(job.ref, Urgency.SUBMIT)
@@ -71,7 +71,9 @@
                     return error(422, problem)
                 return self._state_answer(200, job.ref, found)
             if await self._book.accept(job, split(job, self._summaries(), self._size)):
-                return answer(201, {"ref": job.ref, "condition": "queued"})
+                # One that names a job which is cancelled by now is accepted all the same, and withdrawn at once.
+                state = await self._book.at_first(job.ref) if job.predecessors else "queued"
+                return answer(201, {"ref": job.ref, "condition": state})
             found = await self._book.look_up(job.ref, Urgency.SUBMIT)
             return come_back("undecided") if found is None else self._state_answer(200, job.ref, found)
         except (Unavailable, Unknown, LeaseGone) as trouble:
@@ -88,6 +90,11 @@
         state, record, _ = found
         return answer(status, self._book.view(ref, state, record, self._running(ref)))
 
+    async def _unaccepted(self, job: Submission) -> str | None:
+        """Users name only jobs that were accepted, by any node, in whatever state they are by now."""
+        missing = await self._book.unaccepted(job.predecessors or ())
+        return f"follows {', '.join(missing[:3])}, which nobody accepted" if missing else None
+
     def _impossible(self, job: Submission) -> str | None:
         """Why a job can never run, if so."""
         team = self._teams.get(job.team)
--- a/badgerroute/protocol/users.py
+++ b/badgerroute/protocol/users.py
@@ -52,6 +52,7 @@
     types: list[Text] | None = field(name="breeds", default=None)
     zone: Text | None = field(name="pasture", default=None)
     deadline_s: Amount | None = field(name="market_s", default=None)
+    predecessors: list[Text] | None = field(name="follows", default=None)  # jobs that have to be done before
 
     @property
     def gang(self) -> bool:
@@ -69,6 +70,8 @@
         raise Malformed("trek_s: must be above 0")
     if job.cpus == 0 and job.accelerators == 0 and job.memory_gb == 0:
         raise Malformed("cpus: a task must take something of its machine")
+    if any(not REF.match(one) for one in job.predecessors or ()):
+        raise Malformed("follows: not a job id")
     return job
 
 
--- /dev/null
+++ b/badgerroute/scheduling/dependencies.py
@@ -0,0 +1,132 @@
+"""Jobs that wait for others: which are released, which are withdrawn with a predecessor, what they hand back to it.
+
+Everything is derived from final states, which are durable and never change, so every controller that decides comes to
+the same answer at any time, after any takeover. Nothing is counted that could be wrong.
+"""
+
+from collections.abc import Callable, Container, Iterable, Iterator
+
+Final = Callable[[str], tuple[str, float] | None]  # a job's final state and when it was reached, if that is known
+
+
+class Dependencies:
+    """`final` tells what is known to be over; `released` and `doomed` are called once for each job that becomes so."""
+
+    def __init__(self, final: Final, released: Callable[[str], None], doomed: Callable[[str], None]) -> None:
+        self._final, self._released, self._doomed = final, released, doomed
+        self._needs: dict[str, tuple[str, ...]] = {}  # unfinished job -> its predecessors
+        self._left: dict[str, set[str]] = {}  # job that waits -> predecessors that are not known to be done
+        self._after: dict[str, float] = {}  # unfinished job -> when the last predecessor known to be done was done
+        self._dependents: dict[str, dict[str, None]] = {}  # predecessor -> unfinished jobs that wait for it
+        self.doomed: set[str] = set()  # unfinished jobs that are withdrawn, since a predecessor is
+
+    def add(self, ref: str, predecessors: Iterable[str]) -> None:
+        if ref in self._needs:
+            return
+        self._needs[ref] = needs = tuple(dict.fromkeys(predecessors))
+        self._after[ref] = 0.0
+        self._left[ref] = left = set()
+        lost = False
+        for one in needs:
+            known = ("withdrawn", 0.0) if one in self.doomed else self._final(one)
+            if known is None:
+                left.add(one)
+                self._dependents.setdefault(one, {})[ref] = None
+            elif known[0] == "done":
+                self._after[ref] = max(self._after[ref], known[1])
+            else:
+                lost = True
+        if lost:
+            self._doom(ref)
+        elif not left:
+            del self._left[ref]
+            self._released(ref)
+
+    def remove(self, ref: str) -> None:
+        """The job has its own final state, or is gone."""
+        for one in self._needs.pop(ref, ()):
+            self._forget(one, ref)
+        self._left.pop(ref, None)
+        self._after.pop(ref, None)
+        self.doomed.discard(ref)
+
+    def _forget(self, predecessor: str, ref: str) -> None:
+        dependents = self._dependents.get(predecessor)
+        if dependents is not None:
+            dependents.pop(ref, None)
+            if not dependents:
+                del self._dependents[predecessor]
+
+    def finished(self, ref: str, state: str, at: float) -> None:
+        """A job has its final state, durably."""
+        for dependent in list(self._dependents.get(ref, ())):
+            if state != "done":
+                self._doom(dependent)
+                continue
+            self._forget(ref, dependent)
+            left = self._left.get(dependent)
+            if left is None:
+                continue
+            left.discard(ref)
+            self._after[dependent] = max(self._after[dependent], at)
+            if not left and dependent not in self.doomed:
+                del self._left[dependent]
+                self._released(dependent)
+
+    def _doom(self, ref: str) -> None:
+        """Withdrawn, and all that need it with it. A loop: chains may be long."""
+        found = [ref]
+        while found:
+            one = found.pop()
+            if one in self.doomed or one not in self._needs:
+                continue
+            self.doomed.add(one)
+            found.extend(self._dependents.get(one, ()))
+            self._doomed(one)
+
+    def waits(self, ref: str) -> bool:
+        """Whether not all of a job's predecessors are known to be done: until then nothing of it is there to plan."""
+        return ref in self._left
+
+    def released_at(self, ref: str) -> float:
+        return self._after.get(ref, 0.0)
+
+    def dependents(self, ref: str) -> Iterable[str]:
+        return self._dependents.get(ref, ())
+
+    def unknown(self, unfinished: Container[str]) -> list[str]:
+        """Predecessors of which we know neither that they are unfinished nor how they ended."""
+        return [one for one in self._dependents if one not in unfinished]
+
+    def unknown_ancestors(self, ref: str, unfinished: Container[str]) -> Iterator[str]:
+        """Those of a job and of all that it waits for."""
+        seen, found = {ref}, [ref]
+        while found:
+            for one in self._left.get(found.pop(), ()):
+                if one in seen:
+                    continue
+                seen.add(one)
+                if one in unfinished:
+                    found.append(one)
+                else:
+                    yield one
+
+    def handed_back(self, own: Callable[[str], float], step: Callable[[str], float]) -> dict[str, float]:
+        """For each job with dependents the least of its own value, and of theirs less a step each.
+
+        With levels negated that is the highest level; with due times, and stages' lengths as steps, the earliest time.
+        """
+        found: dict[str, float] = {}
+        for first in self._dependents:
+            stack = [first]
+            while stack:  # a loop, not a recursion: chains may be long
+                one = stack[-1]
+                later = [two for two in self._dependents.get(one, ()) if two not in self.doomed]
+                missing = [two for two in later if two not in found]
+                if missing and one not in found:
+                    stack.extend(missing)
+                    continue
+                stack.pop()
+                if one not in found:
+                    found[one] = min([own(one), *(found[two] - step(two) for two in later)])
+        return {ref: found[ref] for ref in self._dependents}
--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -193,7 +193,7 @@
 
     ref: str
     spec: Submission
-    accepted: timedelta  # its acceptance, on this process's steady clock
+    accepted: timedelta  # its acceptance, or its release if it waited for others, on this process's steady clock
     owned: int  # bit sets of task numbers
     done: int  # durable, all parts
     window: int
@@ -221,7 +221,9 @@
     probes: int = 0  # times that it was tried since
     stopped: int = 0  # times that a gang was stopped for another job
     blocked_until: timedelta = ZERO
-    level: int = 0  # of its priority; both are asked for at every turn, so they are kept ready
+    held_back: timedelta = ZERO  # how long it had to wait for others first; its deadline did not
+    start_by: timedelta | None = None  # later, and a job that needs it will be late
+    level: int = 0  # of its priority, or a dependent's; both are asked for at every turn, so they are kept ready
     gang: bool = False
     giving: int = 0  # on their way to another part, by a write whose outcome we don't know yet: out of reach
     _waiting: tuple[tuple[int, ...], int] = ((), 0)
--- a/badgerroute/scheduling/objectives.py
+++ b/badgerroute/scheduling/objectives.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from badgerroute.protocol.users import Submission
-from badgerroute.scheduling.model import Job
+from badgerroute.scheduling.model import ZERO, Job
 from badgerroute.settings import Objective
 
 PATIENT = timedelta(seconds=120)
@@ -31,19 +31,31 @@
     def start_within(self, job: Job) -> timedelta:
         """How soon the job's tasks are expected to start."""
         within = self._wait.get(job.spec.job_class, PATIENT)
+        if job.start_by is not None:  # half of what is left, since stages that follow will need some of it too
+            within = min(within, max(ZERO, (job.start_by - job.accepted) / 2))
         return min(within, self._guarantee) if job.guaranteed else within
 
-    def due(self, spec: Submission) -> list[timedelta]:
-        """The times after its acceptance by which the job should be complete."""
+    def due(self, spec: Submission, held_back: timedelta = ZERO) -> list[timedelta]:
+        """The times after its acceptance, or its release, by which the job should be complete.
+
+        Deadlines count from the acceptance however long the job was held back by others.
+        """
         due = list(self._finish.get(spec.job_class, ()))
         if spec.deadline_s is not None:
             deadline = timedelta(seconds=spec.deadline_s)
-            due += [deadline * times for times in self._times.get(spec.job_class, ())]
+            due += [deadline * times - held_back for times in self._times.get(spec.job_class, ())]
         return due
 
+    def deadline(self, spec: Submission) -> timedelta | None:
+        """The first deadline after its acceptance, the owner's own."""
+        if spec.deadline_s is None or spec.job_class not in self._times:
+            return None
+        return timedelta(seconds=spec.deadline_s) * min(self._times[spec.job_class])
+
     def missed(self, job: Job, now: timedelta, run: timedelta) -> int:
         """How many of the times by which the job should be complete can't be met any more."""
-        return sum(now - job.accepted + run > one for one in self.due(job.spec))
+        late = job.start_by is not None and now > job.start_by
+        return late + sum(now - job.accepted + run > one for one in self.due(job.spec, job.held_back))
 
     @property
     def tightest(self) -> timedelta:
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -121,9 +121,22 @@
 
     # -- jobs
 
-    def add_job(self, record: JobRecord, accepted: timedelta, window: int, now: timedelta) -> Job | None:
-        """Take over a job's record, new or changed; None if none of its tasks is ours."""
+    def add_job(
+        self,
+        record: JobRecord,
+        accepted: timedelta,
+        window: int,
+        now: timedelta,
+        done: int | None = None,
+        held_back: timedelta = ZERO,
+    ) -> Job | None:
+        """Take over a job's record, new or changed; None if none of its tasks is ours.
+
+        `accepted` is when its times begin to count: its release, if it waited for others, for as long as `held_back`.
+        `done` are its done tasks, if they are not all in the record.
+        """
         ref = record.job.ref
+        done = record.done() if done is None else done
         job = self.jobs.get(ref)
         owned = record.owned(self.number)
         if job is None:
@@ -133,14 +146,14 @@
             need = Room(spec.cpus, spec.accelerators, spec.memory_gb)
             # A gang that comes from another part has waited there already.
             since = min(now, accepted) if spec.gang else now
-            job = Job(ref, spec, accepted, owned, record.done(), window, need, since)
+            job = Job(ref, spec, accepted, owned, done, window, need, since, held_back=held_back)
             self.jobs[ref] = job
             return job
         fresh = owned & ~job.owned
         if fresh and not job.waiting_bits:
             job.since = now
         job.owned = owned
-        job.done |= record.done()
+        job.done |= done
         job.done_here &= ~job.done
         job.mistaken = job.mistaken and not job.done  # it was done elsewhere
         if job.over:
@@ -148,6 +161,16 @@
             return None
         return job
 
+    def set_level(self, job: Job, level: int) -> None:
+        """The level at which a job is served: its own, or that of a job which needs it. It may change at any time."""
+        if level == job.level:
+            return
+        for placement in job.placed.values():
+            held = placement.machine.held
+            held[job.level].take(job.need)
+            held.setdefault(level, Room()).add(job.need)
+        job.level = level
+
     def drop_job(self, ref: str) -> None:
         """The job is over (done or cancelled): none of its tasks may start, all must go."""
         job = self.jobs.get(ref)
--- a/badgerroute/settings.py
+++ b/badgerroute/settings.py
@@ -81,11 +81,37 @@
         return timedelta(seconds=self.gang_peer_s)
 
 
+class NextLimits(Struct, frozen=True):
+    """Limits that the state service will have from some moment on, without notice; null: as now."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Annotated[int, Meta(ge=2)] | None = None
+
+
 class StateLimits(Struct, frozen=True):
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Annotated[int, Meta(ge=2)]
+    next: NextLimits | None = None
+
+    @property
+    def most_changes(self) -> int:
+        """In one transaction, now and later: nobody says when the lower limit comes."""
+        return min(self.txn_ops, (self.next and self.next.txn_ops) or self.txn_ops)
+
+    @property
+    def most_bytes(self) -> int:
+        """Of a value, now and later."""
+        return int(min(self.value_kb, (self.next and self.next.value_kb) or self.value_kb) * 1024)
+
+    @property
+    def lower_rates(self) -> tuple[float, float]:
+        """Requests and changes a second once the service has lowered its limits."""
+        later = self.next or NextLimits()
+        return min(self.rps, later.rps or self.rps), min(self.write_rps, later.write_rps or self.write_rps)
 
 
 class CloudLimits(Struct, frozen=True):
--- a/badgerroute/storage/records.py
+++ b/badgerroute/storage/records.py
@@ -42,10 +42,23 @@
 
 
 class PastRecord(Struct):
-    """A final state, kept for ever."""
+    """A final state, kept for ever, and the time of day at which it was reached (0: written by an older version)."""
 
     state: str
     tasks: int
+    at: float = 0.0
+
+
+class DonePage(Struct):
+    """Done tasks that did not fit their job's record: the bits of PAGE_TASKS tasks."""
+
+    bits: str
+
+
+class PredecessorsPage(Struct):
+    """Predecessors that did not fit their job's record."""
+
+    refs: list[str]
 
 
 class JobRecord(Struct):
@@ -59,18 +72,20 @@
     ranges: list[tuple[int, int, int]]
     base: int = 0
     bits: str = ""
+    pages: int = 0  # keys that hold its predecessors, if these did not fit here
 
     def done(self) -> int:
-        """All done tasks as a bit set."""
+        """The done tasks that are written down here, as a bit set."""
         low = (1 << self.base) - 1
-        return low | (int.from_bytes(base64.b64decode(self.bits), "little") << self.base) if self.bits else low
+        return low | (unpack(self.bits) << self.base) if self.bits else low
 
     def with_done(self, done: int) -> "JobRecord":
         base = trailing_ones(done)
-        rest = done >> base
-        size = (rest.bit_length() + 7) // 8
-        bits = base64.b64encode(rest.to_bytes(size, "little")).decode() if rest else ""
-        return msgspec.structs.replace(self, base=base, bits=bits)
+        return msgspec.structs.replace(self, base=base, bits=pack(done >> base))
+
+    def without_bits(self, done: int) -> "JobRecord":
+        """Only how far all is done; the other bits are on pages."""
+        return msgspec.structs.replace(self, base=trailing_ones(done), bits="")
 
     def owned(self, part: int) -> int:
         """The tasks that a part owns, as a bit set."""
@@ -81,6 +96,22 @@
         return owned
 
 
+PAGE_TASKS = 4096  # so a page is small, whatever the limits: the same for all versions
+
+
+def pack(bits: int) -> str:
+    return base64.b64encode(bits.to_bytes((bits.bit_length() + 7) // 8, "little")).decode()
+
+
+def unpack(text: str) -> int:
+    return int.from_bytes(base64.b64decode(text), "little")
+
+
+def page_of(done: int, number: int) -> int:
+    """The bits of a page's tasks."""
+    return (done >> (number * PAGE_TASKS)) & ((1 << PAGE_TASKS) - 1)
+
+
 def trailing_ones(bits: int) -> int:
     return (~bits & (bits + 1)).bit_length() - 1
 
@@ -112,9 +143,9 @@
     return joined
 
 
-def window(value_kb: float) -> int:
+def window(most_bytes: int) -> int:
     """How far beyond its first unfinished task a job may start others, so that its record fits its key."""
-    return max(64, int((value_kb * 1024 * 0.5) * 6))
+    return max(64, most_bytes // 2 * 6)
 
 
 _decoders: dict[type, msgspec.json.Decoder] = {}
--- a/badgerroute/storage/replica.py
+++ b/badgerroute/storage/replica.py
@@ -14,7 +14,7 @@
 
 log = logging.getLogger("badgerroute.replica")
 PREFIX = "b/"
-PARTS, FLEET, JOBS, PAST, MACHINES, SHARES, CATALOG, GONE = (
+PARTS, FLEET, JOBS, PAST, MACHINES, SHARES, CATALOG, GONE, DONE, PREDECESSORS = (
     "b/parts/",
     "b/fleet",
     "b/jobs/",
@@ -23,8 +23,12 @@
     "b/shares/",
     "b/catalog",
     "b/gone/",
+    "b/done/",
+    "b/before/",
 )
-LISTED = (PARTS, FLEET, JOBS, MACHINES, SHARES, CATALOG, GONE)  # finished jobs are for ever: too many to hold
+# What jobs need beside their records is listed first, so that it is there when they are. Finished jobs are for ever,
+# and too many to hold.
+LISTED = (DONE, PREDECESSORS, PARTS, FLEET, JOBS, MACHINES, SHARES, CATALOG, GONE)
 NOWHERE = PREFIX + "nowhere"  # a key that never exists
 BLOCK = timedelta(seconds=1)
 PAUSE = timedelta(milliseconds=150)  # between two watches: each one counts as a request
--- a/badgerroute/storage/state.py
+++ b/badgerroute/storage/state.py
@@ -18,6 +18,9 @@
 
 log = logging.getLogger("badgerroute.state")
 ANSWER_LIMIT = timedelta(milliseconds=1500)
+OVER = 3  # answers of 429 so close together show that the service has lowered its limits
+OVER_WITHIN = timedelta(seconds=5)
+LEAST_BYTES = 512
 SLACK = 0.95  # budgets stay a little below the published limits: clocks differ, and a 429 helps nobody
 
 
@@ -35,6 +38,10 @@
         self.failed = failed
 
 
+class Refused(Unavailable):
+    """The service calls the transaction malformed or too large: as it is, it must not be sent again."""
+
+
 class LeaseGone(Exception):
     """The lease has ended, and the keys attached to it are gone."""
 
@@ -60,10 +67,15 @@
         self._client = Client(loop, network, address, most_idle=6)
         self._watch_client = Client(loop, network, address, most_idle=1)
         self._claim_client = Client(loop, network, address, most_idle=1)
-        self._reads = Budget(loop, *self._rates(limits.rps, size))
-        self._writes = Budget(loop, *self._rates(limits.write_rps, size))
+        self._rps, self._write_rps, self._size = limits.rps, limits.write_rps, size
+        self._reads = Budget(loop, *self._rates(self._rps, size))
+        self._writes = Budget(loop, *self._rates(self._write_rps, size))
         self._loop = loop
-        self.limits = limits
+        self._limits = limits
+        self._over: list[timedelta] = []  # when the service lately said that we are over its limits
+        # Kept to from the first write on, though the service may still take more: nobody says when it no longer does.
+        self.most_changes = limits.most_changes
+        self.most_bytes = int(limits.most_bytes * SLACK)
         self.requests = 0
         self.conflicts = 0
 
@@ -73,8 +85,33 @@
 
     def share(self, size: int) -> None:
         """Divide the limits among so many: what a dead controller can't use serves the others."""
-        self._reads.limit(*self._rates(self.limits.rps, size))
-        self._writes.limit(*self._rates(self.limits.write_rps, size))
+        self._size = size
+        self._reads.limit(*self._rates(self._rps, size))
+        self._writes.limit(*self._rates(self._write_rps, size))
+
+    def _lower(self, why: str) -> None:
+        """The service has lowered its limits, as the settings announce."""
+        if (self._rps, self._write_rps) != self._limits.lower_rates:
+            self._rps, self._write_rps = self._limits.lower_rates
+            log.info("event=limits_lowered by=%s rps=%g write_rps=%g", why, self._rps, self._write_rps)
+            self.share(self._size)
+
+    def _over_limit(self) -> None:
+        """Now and then two controllers' bursts meet; again and again means that less is allowed than was."""
+        now = self._loop.now()
+        self._over = [at for at in self._over if now - at < OVER_WITHIN] + [now]
+        if len(self._over) >= OVER:
+            self._lower("429")
+
+    def _tighten(self, body: bytes, conditions: int, changes: int) -> None:
+        """What was refused must not come again: from now on everything is kept smaller than that was."""
+        self._lower("400")
+        if changes > 2:
+            self.most_changes = max(2, min(self.most_changes, changes) // 2)
+        self.most_bytes = max(LEAST_BYTES, min(self.most_bytes, len(body) * 3 // 4))
+        log.warning(
+            "event=state_refused changes=%d conditions=%d bytes=%d body=%s", changes, conditions, len(body), body[:120]
+        )
 
     async def _call(
         self,
@@ -96,6 +133,8 @@
             if error.sent:
                 raise Unknown(str(error)) from None
             raise Unavailable(str(error)) from None
+        if response.status == 429:
+            self._over_limit()
         if response.status in (429, 503):
             raise Unavailable(f"status {response.status}")
         return response
@@ -164,7 +203,8 @@
             await self._writes.take(max(1, len(changes)), urgency, limit)
         except Exhausted as error:
             raise Unavailable(str(error)) from None
-        body = encode(wire.Transaction(list(conditions), list(changes)))
+        conditions = list(conditions)
+        body = encode(wire.Transaction(conditions, list(changes)))
         response = await self._call("POST", "/txn", body, urgency, limit)
         if response.status == 200:
             return self._decoded(response, wire.applied_decoder).revision
@@ -174,7 +214,8 @@
         if response.status == 400 and b"lease" in response.body:
             raise LeaseGone("no such lease")
         if response.status == 400:
-            log.error("event=state_refused body=%s", response.body[:200])
+            self._tighten(body, len(conditions), len(changes))
+            raise Refused(f"refused: {response.body[:100]!r}")
         raise Unavailable(f"status {response.status}")
 
     async def grant(self, ttl: timedelta) -> int:
--- a/tests/standins/day.py
+++ b/tests/standins/day.py
@@ -1,13 +1,16 @@
 """A whole day in virtual time: controllers, stand-ins, users that check what they are told, and faults."""
 
 import json
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from datetime import timedelta
 
+import msgspec
+
 from badgerroute.coordination.controller import Controller
 from badgerroute.settings import (
     CloudLimits,
     Endpoints,
+    NextLimits,
     Objective,
     OperatorSettings,
     Params,
@@ -22,6 +25,7 @@
 from badgerroute.transport.clock import VirtualClock
 from badgerroute.transport.http import Client, Response, Unanswered
 from badgerroute.transport.loop import Group, Loop, Routine, VirtualPoller
+from tests.standins import production
 from tests.standins.net import World
 from tests.standins.state import StateService
 from tests.standins.users import Lookers
@@ -43,12 +47,12 @@
     return described | changes
 
 
-def settings_of(host: str, state: str, objectives: list[Objective]) -> Settings:
+def settings_of(host: str, state: str, objectives: list[Objective], limits: StateLimits) -> Settings:
     params = Params(
         size=len(HOSTS),
         zones=["a", "b"],
         workers=WorkerLimits(report_s=1, lease_s=11, gang_wait_s=45, gang_peer_s=4, cancel_s=36),
-        state=StateLimits(rps=100, write_rps=40, value_kb=16, txn_ops=16),
+        state=limits,
         cloud=CloudLimits(rps=6, list_lag_s=2),
         resources=Resources(cpu=0.2, mem_mb=100, fd_limit=600),
         teams=[Team(name, limit / 2, limit) for name, limit in LIMITS.items()],
@@ -104,6 +108,10 @@
         capacity: int = 3,
         kind_cpus: float = 8.0,
         objectives: list[Objective] | None = None,
+        value_kb: float = 16.0,
+        txn_ops: int = 16,
+        later: NextLimits | None = None,
+        old: Iterable[str] = (),
     ) -> None:
         self.clock = VirtualClock()
         self.loop = DayLoop(self.clock)
@@ -111,13 +119,16 @@
         self.random = self.world.random
         self.group = Group(self.loop, "day")
         self.state = StateService(self.loop, self.world, self.group)
-        self.settings = {host: settings_of(host, self.state.serve(host), objectives or []) for host in HOSTS}
+        limits = StateLimits(rps=100, write_rps=40, value_kb=value_kb, txn_ops=txn_ops, next=later)
+        self.state.limits = limits
+        self.settings = {host: settings_of(host, self.state.serve(host), objectives or [], limits) for host in HOSTS}
         kinds = [Kind("k8", kind_cpus, 32.0)]
         self.site = Site(self.world, HOSTS, kinds, ["a", "b"], LIMITS, capacity, timedelta(seconds=36))
         self.rules = self.site.rules
         for number in range(machines):
             self.site.add_worker("k8", "ab"[number % 2])
         self.controllers: dict[str, tuple[Controller, Group]] = {}
+        self.old: set[str] = set(old)  # hosts that run the version in production
         self.user = self.world.network("user")
         self.told: dict[str, str] = {}
         self.accepted: set[str] = set()
@@ -132,7 +143,12 @@
 
     def start(self, host: str) -> None:
         group = Group(self.loop, host)
-        controller = Controller(self.settings[host], self.loop, self.world.network(host), group)
+        settings, kind = self.settings[host], Controller
+        if host in self.old:
+            module = production.module("settings")
+            platform = msgspec.convert(msgspec.to_builtins(settings.platform), module.PlatformSettings)
+            settings, kind = module.Settings(platform), production.module("coordination.controller").Controller
+        controller = kind(settings, self.loop, self.world.network(host), group)
         self.change(controller)
         self.controllers[host] = (controller, group)
         group.spawn(controller.run(), "main")
@@ -151,6 +167,11 @@
             self.crash(host)
             self.loop.later(after, lambda: self.start(host))
 
+    def upgrade(self, host: str, after: timedelta = SECOND) -> None:
+        """Its process is killed, and comes back with the new version."""
+        self.old.discard(host)
+        self.restart(host, after)
+
     def sockets(self, host: str) -> int:
         """Connections that a host holds open now, either way."""
         return sum(
@@ -225,8 +246,11 @@
         last = self.told.get(ref)
         if last in ("done", "withdrawn") and condition != last:
             self.rules.breach("went_back", f"{ref} from {last} to {condition}")
-        if condition == "withdrawn" and ref not in self.site.withdrawn:
+        told = self.site.called_off(ref)
+        if condition == "withdrawn" and told is None:
             self.rules.breach("went_back", f"{ref} withdrawn by nobody")
+        if condition in ("queued", "running") and told is not None and self.loop.now() - told > self.site.cancel:
+            self.rules.breach("orphaned", f"{ref} is {condition}")
         if condition == "done":
             missing = [
                 index for index in range(self.site.jobs[ref]["heads"]) if f"{ref}/{index}" not in self.site.finished
--- /dev/null
+++ b/tests/standins/production.py
@@ -0,0 +1,40 @@
+"""The version in production, frozen: the package as of the commit that deploy/service.toml names, under another name.
+
+`tests/data/production.zip` holds it. It shares the transport layer with the sources as they stand (so that both kinds
+of controller run on one virtual loop) and nothing else. Made, once, by `python -m tests.standins.production COMMIT`.
+"""
+
+import importlib
+import io
+import re
+import subprocess
+import sys
+import tarfile
+import zipfile
+from pathlib import Path
+from types import ModuleType
+
+ARCHIVE = Path(__file__).parent.parent / "data" / "production.zip"
+NAME = "badgerroute_production"
+OURS = re.compile(r"^(\s*(?:from|import) )badgerroute(?!\.transport)\b", re.MULTILINE)
+
+
+def module(name: str) -> ModuleType:
+    """A module of the version in production."""
+    if str(ARCHIVE) not in sys.path:
+        sys.path.append(str(ARCHIVE))
+    return importlib.import_module(f"{NAME}.{name}")
+
+
+def freeze(commit: str) -> None:
+    found = subprocess.run(["git", "archive", commit, "badgerroute"], check=True, capture_output=True).stdout
+    with tarfile.open(fileobj=io.BytesIO(found)) as tree, zipfile.ZipFile(ARCHIVE, "w") as archive:
+        for one in sorted(tree.getmembers(), key=lambda one: one.name):
+            if one.isfile() and one.name.endswith(".py") and not one.name.startswith("badgerroute/transport/"):
+                text = tree.extractfile(one).read().decode()
+                entry = zipfile.ZipInfo(one.name.replace("badgerroute", NAME, 1), (2026, 1, 1, 0, 0, 0))
+                archive.writestr(entry, OURS.sub(rf"\1{NAME}", text), zipfile.ZIP_DEFLATED)
+
+
+if __name__ == "__main__":
+    freeze(sys.argv[1])
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from urllib.parse import unquote
 
+from badgerroute.settings import StateLimits
 from badgerroute.transport.http import Request, Response, Server, parse_query
 from badgerroute.transport.loop import Future, Group, Loop
 from tests.standins.net import World
@@ -33,6 +34,11 @@
         self.late_writes = 0.0  # this share of transactions gets no answer, and is carried out seconds later
         self.late_by = (2.0, 12.0)
         self.drop_answers = 0  # so many transactions are carried out, but their answers are lost
+        self.limits: StateLimits | None = None
+        self.write_rps: float | None = None  # changes beyond this rate get 429
+        self.over = 0  # answers of 429
+        self._tokens, self._filled = 0.0, timedelta(0)
+        self.too_large: list[str] = []  # what was refused for its size
         self.group = group
         self._down_since = timedelta(0)
         group.spawn(self._expire(), "leases")
@@ -118,8 +124,28 @@
         rows = [{"key": key, "value": self.items[key][0], "mark": self.items[key][1]} for key in keys[:limit]]
         return reply(200, {"rows": rows, "more": len(keys) > limit, "ledger": self.ledger})
 
+    def lower(self, limits: StateLimits) -> None:
+        """The lower limits hold from now on. What is stored stays readable."""
+        later = limits.next
+        self.limits = StateLimits(later.rps or limits.rps, later.write_rps, later.value_kb, later.txn_ops)
+        self.write_rps = self._tokens = later.write_rps
+        self._filled = self.loop.now()
+
+    def _within_rate(self, changes: int) -> bool:
+        if self.write_rps is None:
+            return True
+        passed = (self.loop.now() - self._filled) / timedelta(seconds=1)
+        self._tokens, self._filled = min(self.write_rps, self._tokens + passed * self.write_rps), self.loop.now()
+        if self._tokens < min(changes, self.write_rps):
+            self.over += 1
+            return False
+        self._tokens -= changes
+        return True
+
     async def _txn(self, request: Request) -> Response:
         body = json.loads(request.body)
+        if not self._within_rate(len(body["apply"])):
+            return reply(429, {"error": "too many changes"})
         if self.late_writes and self.world.random.random() < self.late_writes:
             await self.loop.sleep(timedelta(seconds=self.world.random.uniform(*self.late_by)))
             while self.down:
@@ -140,6 +166,14 @@
         ]
         if failed:
             return reply(409, {"failed": failed, "ledger": self.ledger})
+        if self.limits is not None:
+            sizes = [len(json.dumps(one.get("value"), separators=(",", ":"))) for one in body["apply"]]
+            if max(sizes, default=0) > self.limits.value_kb * 1024 or len(sizes) > self.limits.txn_ops:
+                self.too_large.append(str([one.get("write") or one["remove"] for one in body["apply"]]))
+                return reply(400, {"error": "too large"})
+            if len(body["if"]) > 4 * self.limits.txn_ops:
+                self.too_large.append("conditions")
+                return reply(400, {"error": "too many conditions"})
         for change in body["apply"]:
             if change.get("tether") is not None and change["tether"] not in self.leases:
                 return reply(400, {"error": "no such lease"})
--- a/tests/standins/waiting.py
+++ b/tests/standins/waiting.py
@@ -31,7 +31,7 @@
         day, now = self.day, self.day.loop.now()
         running = {name.rpartition("/")[0] for name in day.rules.on}
         for ref in day.accepted:
-            over = day.told.get(ref) in ("done", "withdrawn") or ref in day.site.withdrawn
+            over = day.told.get(ref) in ("done", "withdrawn") or day.site.called_off(ref)
             finished = f"{ref}/{day.site.jobs[ref]['heads'] - 1}" in day.site.finished
             if over or finished or ref in running or ref in day.site.mistaken or not self._could_run(ref):
                 self._since.pop(ref, None)
@@ -42,6 +42,8 @@
     def _could_run(self, ref: str) -> bool:
         """Whether machines with room fit the job (a gang: all of it at once) and its team is under its limit."""
         job = self.day.site.jobs[ref]
+        if not all(self.day.site.is_done(one) for one in job.get("follows") or ()):
+            return False
         gang = job["gait"] == "group"
         needed = job["heads"] if gang else 1
         limit = self.day.site.limits[job["crew"]]
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -294,6 +294,8 @@
             self.breach("wrong_place", f"{task.ref} in {set(zones)}")
         if job["spread"] and zones.count(worker.zone) > (job["heads"] + 1) // 2:
             self.breach("wrong_place", f"{task.ref} not spread")
+        if not all(self.site.is_done(one) for one in job.get("follows") or ()):
+            self.breach("too_early", task.name)
         team = job["crew"]
         used = sum(
             self.site.jobs[name.rpartition("/")[0]]["cpus"]
@@ -351,6 +353,22 @@
         server = Server(self.loop, self.group, self._cloud, 100)
         self.group.spawn(server.serve(world.network("cloud").listen("cloud:8443")), "cloud")
 
+    def is_done(self, ref: str) -> bool:
+        return all(f"{ref}/{index}" in self.finished for index in range(self.jobs[ref]["heads"]))
+
+    def called_off(self, ref: str) -> timedelta | None:
+        """When the user was told first that the job, or one that it needs, is cancelled."""
+        found, seen, times = [ref], {ref}, []
+        while found:
+            one = found.pop()
+            if one in self.withdrawn:
+                times.append(self.withdrawn[one])
+            for before in self.jobs.get(one, {}).get("follows") or ():
+                if before not in seen:
+                    seen.add(before)
+                    found.append(before)
+        return min(times, default=None)
+
     def run_time(self, ref: str) -> float:
         return self.jobs[ref]["trek_s"]
 
--- a/tests/test_left_waiting.py
+++ b/tests/test_left_waiting.py
@@ -163,8 +163,8 @@
 
 # -- What users send by mistake
 
-GOOD = job("run-good", breeds=["k8"], pasture="a", market_s=60.0)
-MAY_BE_NULL = {"breeds", "pasture", "market_s"}
+GOOD = job("run-good", breeds=["k8"], pasture="a", market_s=60.0, follows=["run-before"])
+MAY_BE_NULL = {"breeds", "pasture", "market_s", "follows"}
 FIELDS = [one.encode_name for one in msgspec.structs.fields(Submission)]
 
 
--- /dev/null
+++ b/tests/test_pipelines.py
@@ -0,0 +1,384 @@
+"""Jobs that wait for others: released once all of them are done, withdrawn with any of them, under every trouble."""
+
+import json
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+
+import pytest
+
+from badgerroute.scheduling.dependencies import Dependencies
+from badgerroute.storage import records
+from tests.standins.day import HOSTS, SECOND, Day, job
+from tests.test_meetings import MEETINGS
+
+CANCEL = 36
+
+
+# -- The graph
+
+
+class Graph:
+    """A graph with what was reported of it."""
+
+    def __init__(self, **ends: str) -> None:
+        self.ends = {name: (state, 7.0) for name, state in ends.items()}
+        self.released: list[str] = []
+        self.doomed: list[str] = []
+        self.graph = Dependencies(self.ends.get, self.released.append, self.doomed.append)
+
+    def end(self, ref: str, state: str, at: float = 7.0) -> None:
+        self.ends[ref] = (state, at)
+        self.graph.remove(ref)
+        self.graph.finished(ref, state, at)
+
+
+@pytest.mark.parametrize(
+    ("needs", "ends", "released", "doomed"),
+    [
+        ({"b": "a"}, [], "", ""),
+        ({"b": "a"}, [("a", "done")], "b", ""),
+        ({"b": "a"}, [("a", "withdrawn")], "", "b"),
+        ({"c": "ab"}, [("a", "done")], "", ""),
+        ({"c": "ab"}, [("a", "done"), ("b", "done")], "c", ""),
+        ({"c": "ab"}, [("a", "done"), ("b", "withdrawn")], "", "c"),
+        ({"c": "ab"}, [("a", "withdrawn"), ("b", "done")], "", "c"),
+        ({"b": "a", "c": "b", "d": "c"}, [("a", "withdrawn")], "", "bcd"),
+        ({"b": "a", "c": "b", "d": "cx"}, [("b", "withdrawn")], "", "cd"),
+        ({"b": "a", "c": "b"}, [("a", "done"), ("b", "done")], "bc", ""),
+        ({"c": "b", "b": "a"}, [("a", "withdrawn")], "", "bc"),
+        ({"b": "o"}, [], "b", ""),  # `o` was done before
+        ({"b": "w", "c": "b"}, [], "", "bc"),  # `w` was withdrawn before
+        ({"c": "b", "b": "w"}, [], "", "bc"),
+        ({"b": "aa"}, [("a", "done")], "b", ""),
+    ],
+)
+def test_final_states_decide(needs: dict[str, str], ends: list, released: str, doomed: str) -> None:
+    for again in (False, True):  # whatever is said twice changes nothing
+        graph = Graph(o="done", w="withdrawn")
+        for ref, predecessors in needs.items():
+            for _ in range(1 + again):
+                graph.graph.add(ref, predecessors)
+        for ref, state in ends:
+            for _ in range(1 + again):
+                graph.end(ref, state)
+        assert "".join(graph.released) == released
+        assert "".join(sorted(graph.doomed)) == doomed
+        assert all(graph.graph.waits(ref) != (ref in released) for ref in needs if ref not in dict(ends))
+
+
+def test_the_last_predecessor_starts_the_clock() -> None:
+    graph = Graph()
+    graph.graph.add("c", "ab")
+    graph.end("b", "done", 50.0)
+    graph.end("a", "done", 20.0)
+    assert graph.graph.released_at("c") == 50.0
+
+
+def test_what_dependents_hand_back() -> None:
+    """Shared predecessors take the best of all; a cancelled dependent counts no more."""
+    graph = Graph()
+    for ref, predecessors in {"b": "a", "c": "a", "d": "bc", "e": "c"}.items():
+        graph.graph.add(ref, predecessors)
+    due = {"a": 1000.0, "b": 900.0, "c": 800.0, "d": 100.0, "e": 40.0}
+    length = {"a": 1.0, "b": 20.0, "c": 5.0, "d": 10.0, "e": 10.0}
+    assert graph.graph.handed_back(due.get, length.get) == {"a": 25.0, "b": 90.0, "c": 30.0}
+    graph.end("e", "withdrawn")
+    assert graph.graph.handed_back(due.get, length.get) == {"a": 70.0, "b": 90.0, "c": 90.0}
+
+
+def test_long_chains_and_wide_graphs() -> None:
+    graph = Graph()
+    for number in range(3000):
+        graph.graph.add(f"c{number + 1}", [f"c{number}"])
+        graph.graph.add(f"w{number}", ["c0"])
+    assert len(graph.graph.handed_back(lambda ref: 0.0, lambda ref: 0.0)) == 3000
+    graph.end("c0", "withdrawn")
+    assert len(graph.doomed) == 6000
+
+
+# -- Days
+
+
+def chain(day: Day, name: str, length: int = 4, **last: object) -> list[str]:
+    """A pipeline, submitted one after another; the last has the priority that counts."""
+    refs = [f"run-{name}{number}" for number in range(length)]
+    for number, ref in enumerate(refs):
+        before = {"follows": refs[number - 1 : number]} if number else {}
+        changes = last if number == length - 1 else {"rank": "idle"}
+        gang = {"gait": "group", "heads": 2} if number == 2 else {"heads": 3}
+        day.submit(job(ref, **({"trek_s": 3.0} | gang | changes | before)))
+    return refs
+
+
+def test_a_pipeline_runs_in_order() -> None:
+    day = Day(seed=41)
+    day.run(5)
+    refs = chain(day, "p", rank="urgent", market_s=90.0)
+    day.run(1)
+    assert [day.poll(ref) for ref in refs[1:]] == ["queued"] * 3
+    assert all(ref not in owner.part.jobs for one, _ in day.controllers.values() for owner in one.owners.values()
+               for ref in refs[1:])  # fmt: skip
+    assert day.finish(90) == []
+    assert [day.told[ref] for ref in refs] == ["done"] * 4
+    ended = {key[7:]: item[0]["at"] for key, item in day.state.items.items() if key.startswith("b/past/")}
+    assert [ended[ref] for ref in refs] == sorted(ended[ref] for ref in refs)
+    assert day.rules.broken == []
+
+
+def test_jobs_that_wait_take_nothing_from_others() -> None:
+    """No share, no guarantee, no machine rented: not even for a thousand processors' worth."""
+    day = Day(seed=42, machines=3)
+    day.run(5)
+    day.submit(job("run-first", heads=1, trek_s=40.0))
+    for number in range(12):
+        day.submit(job(f"run-w{number}", heads=100, rank="urgent", follows=["run-first"]))
+    day.submit(job("run-other", heads=10, rank="idle", trek_s=2.0))
+    before = len(day.site.workers) + len(day.site.booting)
+    assert day.until(lambda: day.poll("run-other") == "done", 25)
+    assert len(day.site.workers) + len(day.site.booting) <= before + 2, "two spot machines at the most"
+    day.cancel("run-first")
+    assert day.finish() == []
+    assert day.rules.broken == []
+
+
+@pytest.mark.parametrize(
+    ("follows", "status"),
+    [
+        (["run-running"], 201), (["run-over"], 201), (["run-off"], 201), (["run-running", "run-over", "run-over"], 201),
+        (["run-nobody"], 422), (["run-over", "run-nobody"], 422), (["run-new"], 422), ([], 201), (None, 201),
+        ("run-over", 400), ([7], 400), (["over"], 400), ([None], 400), ({"run-over": 1}, 400),
+    ],
+)  # fmt: skip
+def test_what_may_be_named(follows: object, status: int) -> None:
+    day = Day(seed=43)
+    day.run(5)
+    day.submit(job("run-over", heads=1, trek_s=0.5))
+    assert day.finish() == []
+    day.submit(job("run-running", heads=2, trek_s=8.0))
+    day.submit(job("run-off", heads=2, trek_s=30.0))
+    day.cancel("run-off")
+    for host in HOSTS:  # also right after, at nodes that may not have heard of it
+        ref = f"run-new{host[-1]}" if follows != ["run-new"] else "run-new"
+        described = job(ref, follows=follows)
+        day.site.jobs[ref] = described
+        response = day.ask("POST", "/v1/jobs", described, host=host)
+        assert response is not None and response.status == status
+        if status == 201:
+            day.accepted.add(ref)
+    assert day.finish() == []
+    expected = {"withdrawn"} if follows == ["run-off"] else {"done"}
+    assert {day.told[ref] for ref in day.accepted if ref.startswith("run-new")} <= expected
+    assert day.rules.broken == []
+
+
+def test_names_that_can_not_be_looked_up() -> None:
+    """503 while the state service is away, not 422; and the repeat of what was accepted gets its state."""
+    day = Day(seed=44)
+    day.run(5)
+    day.submit(job("run-a", heads=1, trek_s=60.0))
+    day.submit(job("run-b", follows=["run-a"]))
+    day.state.outage(True)
+    assert day.ask("POST", "/v1/jobs", job("run-c", follows=["run-zzz"])).status == 503
+    day.state.outage(False)
+    day.run(1)
+    for host in HOSTS:
+        response = day.ask("POST", "/v1/jobs", job("run-b", follows=["run-zzz"]), host=host)
+        assert response.status == 200 and json.loads(response.body)["condition"] == "queued"
+    day.cancel("run-a")
+    assert day.finish() == []
+    assert day.rules.broken == []
+
+
+def wide(day: Day) -> list[str]:
+    refs = [f"run-w{number}" for number in range(100)]
+    for ref in refs:
+        day.submit(job(ref, heads=2, follows=["run-first"]))
+    return refs
+
+
+def deep(day: Day) -> list[str]:
+    refs = [f"run-d{number}" for number in range(100)]
+    for number, ref in enumerate(refs):
+        day.submit(job(ref, heads=2, follows=[refs[number - 1] if number else "run-first"]))
+    return refs
+
+
+def well(day: Day) -> None:
+    """No trouble."""
+
+
+def outage(day: Day) -> None:
+    """It begins just after the confirmation."""
+    day.state.outage(True)
+    day.loop.later((CANCEL + 12) * SECOND, lambda: day.state.outage(False))
+
+
+def confirmer_ends(day: Day) -> None:
+    for host in HOSTS[:2]:
+        day.restart(host, 4 * SECOND)
+
+
+def all_end(day: Day) -> None:
+    for host in HOSTS:
+        day.restart(host, 3 * SECOND)
+
+
+def writes_late(day: Day) -> None:
+    day.state.late_writes = 0.3
+    day.loop.later(20 * SECOND, lambda: setattr(day.state, "late_writes", 0.0))
+
+
+@pytest.mark.parametrize("trouble", [well, outage, confirmer_ends, all_end, writes_late], ids=lambda one: one.__name__)
+@pytest.mark.parametrize("graph", [wide, deep], ids=lambda one: one.__name__)
+def test_dependents_are_withdrawn(graph: Callable[[Day], list[str]], trouble: Callable[[Day], None]) -> None:
+    day = Day(seed=45, machines=3)
+    day.run(5)
+    day.submit(job("run-first", heads=1, trek_s=200.0))
+    refs = graph(day)
+    day.run(1)
+    assert day.cancel("run-first") == "withdrawn"
+    told = day.loop.now()
+    trouble(day)
+    while day.loop.now() - told < CANCEL * SECOND:
+        for ref in refs[::17]:
+            day.poll(ref)
+        day.run(2)
+    # From here on the rules call anything else an orphan; nothing at all is no older answer.
+    answers = {day.poll(ref, host=host) for ref in refs[::7] for host in HOSTS}
+    assert answers <= {"withdrawn", None}
+    assert trouble in (outage, writes_late) or answers == {"withdrawn"}
+    assert day.finish(200) == []
+    assert {day.told[ref] for ref in refs} == {"withdrawn"}
+    assert day.until(lambda: not any(key.startswith("b/jobs/") for key in day.state.items), 60), "the records follow"
+    assert day.rules.starts <= 1
+    assert day.rules.broken == []
+
+
+def test_a_cancellation_that_meets_the_end_of_a_predecessor() -> None:
+    """Exactly one wins: either the dependents go on, or they are withdrawn."""
+    ends = set()
+    for seed in range(8):
+        day = Day(seed=50 + seed)
+        day.run(5)
+        day.submit(job("run-a", heads=1, trek_s=3.0))
+        day.submit(job("run-b", heads=1, trek_s=1.0, follows=["run-a"]))
+        assert day.until(lambda day=day: "run-a/0" in day.rules.on, 20)
+        day.run(0.5)
+        ends_at = day.rules.on["run-a/0"].tasks["run-a/0"].until
+        day.state.slow = 10.0
+        day.run((ends_at - day.loop.now()) / SECOND - 0.2 + 0.05 * seed)
+        won = day.cancel("run-a")
+        assert day.finish() == []
+        assert day.told["run-b"] == ("done" if won == "done" else "withdrawn")
+        assert day.rules.broken == []
+        ends.add(won)
+    assert ends == {"done", "withdrawn"}
+
+
+def test_an_urgent_end_lifts_what_it_needs() -> None:
+    """Idle stages come before ordinary arrays while an urgent job needs them, and only as long as one does."""
+    day = Day(seed=46, machines=3, capacity=0)
+    day.run(5)
+    day.submit(job("run-fill", heads=200, crew="guests", trek_s=20.0))
+    day.run(8)
+    day.submit(job("run-stage", heads=12, crew="guests", rank="idle", trek_s=6.0))
+    day.run(6)
+    placed = lambda: sum(name.startswith("run-stage/") for name in day.rules.on)  # noqa: E731
+    assert not placed()
+    day.submit(job("run-end", heads=1, rank="urgent", market_s=60.0, follows=["run-stage"]))
+    assert day.until(lambda: placed() >= 8, 15)
+    levels = lambda: {owner.part.jobs["run-stage"].level for one, _ in day.controllers.values()  # noqa: E731
+                      for owner in one.owners.values() if "run-stage" in owner.part.jobs}  # fmt: skip
+    assert levels() == {2}
+    day.cancel("run-end")
+    day.run(1.5)
+    assert levels() == {0}
+    for one, _ in day.controllers.values():
+        for owner in one.owners.values():
+            for machine in owner.part.machines.values():
+                assert all(abs(room.cpus) < 1e-6 for level, room in machine.held.items() if level == 2)
+    day.cancel("run-fill")
+    assert day.finish() == []
+    assert day.rules.broken == []
+
+
+def test_a_takeover_does_not_start_the_clock_anew() -> None:
+    day = Day(seed=47, machines=3, capacity=0)
+    day.run(5)
+    day.submit(job("run-fill", heads=300, crew="guests", rank="urgent", trek_s=300.0))
+    day.submit(job("run-a", heads=1, rank="prod", trek_s=1.0))
+    day.submit(job("run-b", heads=40, trek_s=1.0, follows=["run-a"]))
+    assert day.until(lambda: day.poll("run-a") == "done", 30)
+    done_at = day.loop.now()
+    day.run(15)
+    for host in HOSTS:
+        day.restart(host, SECOND)
+    day.run(10)
+    found = [owner.part.jobs["run-b"] for one, _ in day.controllers.values() for owner in one.owners.values()
+             if "run-b" in owner.part.jobs]  # fmt: skip
+    assert found and all(abs((one.accepted - done_at) / SECOND) < 4 for one in found)
+
+
+def test_tasks_of_a_released_job_survive_a_start_of_all() -> None:
+    """A controller that has just begun must not take them for strays because it has not looked its predecessors up."""
+    day = Day(seed=48, machines=6)
+    day.run(5)
+    refs = ["run-a0", "run-a1", "run-a2"]
+    for ref in refs:
+        day.submit(job(ref, heads=1, trek_s=0.5))
+    day.submit(job("run-b", heads=12, trek_s=40.0, follows=refs))
+    assert day.until(lambda: len(day.rules.on) == 12, 30)
+    starts = day.rules.starts
+    for host in HOSTS:
+        day.restart(host, SECOND / 2)
+    assert day.finish() == []
+    assert day.rules.starts == starts, "nothing was started again"
+    assert day.rules.broken == []
+
+
+def test_hundreds_of_predecessors() -> None:
+    """More than fit a record, where values are small: they go to keys of their own, which go when the job is over."""
+    day = Day(seed=49, value_kb=2.0, txn_ops=5)
+    day.run(5)
+    refs = [f"run-m{number:04d}-{'x' * 40}" for number in range(120)]
+    for ref in refs:
+        day.submit(job(ref, heads=1, trek_s=0.2, cpus=0.5))
+    day.submit(job("run-all", heads=2, follows=refs, breeds=["k8", *(f"no-such-{one}" for one in range(200))]))
+    day.submit(job("run-off", heads=2, follows=refs))
+    assert all(len(json.dumps(item[0])) <= 2048 for item in day.state.items.values())
+    assert any(key.startswith("b/before/run-all/") for key in day.state.items)
+    day.restart(HOSTS[0], SECOND)
+    day.cancel("run-off")
+    assert day.finish(300) == []
+    assert day.told["run-all"] == "done" and day.told["run-off"] == "withdrawn"
+    assert day.until(lambda: not any(key.startswith("b/before/") for key in day.state.items), 120)
+    assert day.rules.broken == []
+
+
+def pipelines(day: Day) -> None:
+    for number in range(3):
+        chain(day, f"p{number}-", rank="urgent", market_s=120.0)
+    chain(day, "q", trek_s=8.0)
+
+
+@pytest.mark.parametrize("meeting", MEETINGS, ids=lambda meeting: meeting.__name__)
+def test_pipelines_in_every_meeting(meeting: Callable[[Day], Iterator[float]]) -> None:
+    day = Day(seed=sum(meeting.__name__.encode()) + 1, machines=9)
+    day.run(5)
+    for number in range(3):
+        day.submit(job(f"run-a{number}", heads=6, trek_s=15.0))
+        day.submit(job(f"run-b{number}", heads=4, trek_s=10.0, crew="red", rank="idle"))
+        day.submit(job(f"run-g{number}", gait="group", heads=2, cpus=4.0, rank="urgent", trek_s=10.0))
+        day.submit(job(f"run-c{number}-after", heads=2, follows=[f"run-a{number}", f"run-g{number}"], trek_s=4.0))
+    pipelines(day)
+    day.submit(job("run-last", heads=1, follows=["run-c0-after", "run-q3"]))
+    day.group.spawn(day.lookers.submit(job("run-soon", heads=1, follows=["run-p0-1"]), cancelled=True), "user")
+    for pause in meeting(day):
+        day.run(pause)
+    assert day.finish(400) == []
+    assert day.rules.broken == []
+
+
+def test_records_of_the_past_tell_when() -> None:
+    assert records.read(b'{"state":"done","tasks":3}', records.PastRecord).at == 0.0
+    assert timedelta(seconds=0) == 0 * SECOND
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,283 @@
+"""Two versions side by side and on one another's data, and the lower limits that come after."""
+
+import base64
+import json
+import random
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from badgerroute import settings as new_settings
+from badgerroute.protocol import mesh
+from badgerroute.settings import NextLimits, StateLimits
+from badgerroute.storage import records
+from badgerroute.storage.budget import Urgency
+from badgerroute.storage.state import Refused, put
+from badgerroute.transport.loop import Loop
+from tests import test_meetings as meetings
+from tests.standins import production
+from tests.standins.day import HOSTS, SECOND, Day, job, settings_of
+from tests.standins.workers import Kind
+
+LATER = NextLimits(write_rps=28.0, value_kb=2.0, txn_ops=5)
+SAMPLES = json.loads((Path(__file__).parent / "data" / "production-samples.json").read_text())
+RECORDS = ("PartClaim", "FleetClaim", "MachineRecord", "GoneRecord", "ShareRecord", "PastRecord", "JobRecord")
+
+
+# -- Formats: samples recorded with the version in production, and its own definitions
+
+
+@pytest.mark.parametrize("kind", RECORDS)
+def test_records_of_the_version_in_production(kind: str) -> None:
+    """They are read as it reads them; and what we write of the same, it reads as the same."""
+    old = getattr(production.module("storage.records"), kind)
+    for text in SAMPLES[kind]:
+        mine = records.read(text.encode(), getattr(records, kind))
+        theirs = msgspec.json.decode(text.encode(), type=old)
+        known = msgspec.to_builtins(theirs)
+        assert {key: msgspec.to_builtins(mine)[key] for key in known} == known
+        again = msgspec.json.decode(bytes(records.write(mine)), type=old)
+        assert msgspec.to_builtins(again) == known
+
+
+@pytest.mark.parametrize("kind", [one.__name__ for one in mesh.Message.__args__])
+def test_mesh_messages_of_the_version_in_production(kind: str) -> None:
+    decoder = production.module("protocol.mesh").decoder
+    assert SAMPLES[kind], "each message has a sample"
+    for text in SAMPLES[kind]:
+        data = base64.b64decode(text)
+        mine, theirs = mesh.decoder.decode(data), decoder.decode(data)
+        known = msgspec.to_builtins(theirs)
+        assert {key: msgspec.to_builtins(mine)[key] for key in known} == known
+        assert msgspec.to_builtins(decoder.decode(mesh.encoder.encode(mine))) == known
+
+
+def test_new_fields_are_optional_and_mean_the_old_thing() -> None:
+    old = production.module("storage.records").JobRecord
+    described = {key: value for key, value in job("run-1").items() if value is not None}
+    mine = records.JobRecord(msgspec.convert(described, records.Submission), 5.0, [(0, 0, 6)], 2, "AQ==")
+    theirs = msgspec.json.decode(bytes(records.write(mine)), type=old)
+    rewritten = records.read(msgspec.json.encode(theirs), records.JobRecord)
+    assert rewritten == mine, "an old controller's rewrite of a job that waits for none drops nothing"
+
+
+@pytest.mark.parametrize("lease", [10.0, 11.0, 15.25, 16.0])
+@pytest.mark.parametrize("cancel", [36.0, 40.25, 46.0])
+def test_both_versions_agree_on_every_bound(lease: float, cancel: float) -> None:
+    """A changed constant would be a changed protocol."""
+    day = settings_of(HOSTS[0], "state:1", [], StateLimits(100, 30, 16, 16, LATER))
+    workers = msgspec.structs.replace(day.params.workers, lease_s=lease, cancel_s=cancel)
+    platform = msgspec.structs.replace(day.platform, params=msgspec.structs.replace(day.params, workers=workers))
+    old = production.module("settings")
+    theirs = old.Settings(msgspec.convert(msgspec.to_builtins(platform), old.PlatformSettings))
+    mine = new_settings.Settings(platform)
+    assert (mine.grace, mine.machine_lease, mine.drift) == (theirs.grace, theirs.machine_lease, theirs.drift)
+    assert mine.operator.claims.ttl == theirs.operator.claims.ttl
+    assert mine.hosts == theirs.hosts and mine.home == theirs.home
+
+
+# -- Days that begin with the version in production
+
+
+def quiet(day: Day) -> Iterator[float]:
+    """Rolled, a few at a time."""
+    yield 1
+
+
+def dies_before_its_turn(day: Day) -> Iterator[float]:
+    """A process that dies before its turn comes back old."""
+    day.restart(HOSTS[2], SECOND / 3)
+    yield 2
+    day.restart(HOSTS[1], 2 * SECOND)
+    yield 1
+
+
+def outage(day: Day) -> Iterator[float]:
+    day.state.outage(True)
+    yield 3
+    day.loop.later(15 * SECOND, lambda: day.state.outage(False))
+
+
+def cancellations(day: Day) -> Iterator[float]:
+    for ref in ("run-a1", "run-b0", "run-g2"):
+        day.group.spawn(day.lookers.cancel(ref), "user")
+    yield 0.2
+
+
+TROUBLES: list[Callable[[Day], Iterator[float]]] = [
+    quiet, dies_before_its_turn, outage, cancellations, meetings.mute_machines, meetings.writes_late,
+    meetings.answers_lost, meetings.limits_full, meetings.unheard_leader, meetings.alone_with_workers,
+    meetings.cancelled_in_hand_over, meetings.reports_at_takeover, meetings.earlier_sessions, meetings.held_report,
+    meetings.slow_then_refused, meetings.close_looks, meetings.far_ends,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("trouble", TROUBLES, ids=lambda one: one.__name__)
+def test_an_upgrade_under_trouble(trouble: Callable[[Day], Iterator[float]]) -> None:
+    """Both versions serve together, then pipelines come, then the limits are lowered, while work goes on."""
+    day = Day(seed=sum(trouble.__name__.encode()) + 3, machines=9, later=LATER, old=HOSTS)
+    day.run(5)
+    for number in range(3):
+        day.submit(job(f"run-a{number}", heads=20, trek_s=15.0))
+        day.submit(job(f"run-b{number}", heads=8, trek_s=15.0, crew="red", rank="idle", brand=f"img-{number}"))
+        day.submit(job(f"run-g{number}", gait="group", heads=2, cpus=4.0, rank="urgent", trek_s=15.0))
+    day.run(3)
+    turns = list(HOSTS)
+    for number, pause in enumerate(trouble(day)):
+        if turns and number % 2 == 0:
+            day.upgrade(turns.pop(0), timedelta(seconds=day.random.choice((0.3, 1.0, 3.0))))
+        day.run(pause)
+    for host in turns:
+        day.upgrade(host, SECOND)
+        day.run(4)
+    day.run(4)
+    assert not day.old
+    stages = ["run-p0", "run-p1", "run-p2"]
+    for number, ref in enumerate(stages):
+        day.submit(job(ref, heads=3, trek_s=4.0, follows=stages[number - 1 : number] + ["run-a0"][: number % 2]))
+    day.state.lower(day.settings[HOSTS[0]].params.state)
+    for number in range(3):
+        day.submit(job(f"run-z{number}", heads=30, trek_s=3.0))
+    day.restart(HOSTS[1], SECOND)
+    assert day.finish(400) == []
+    assert day.state.too_large == [], "kept within the lower sizes from the first write on"
+    assert day.rules.broken == []
+
+
+# -- Lower limits
+
+
+def left_by_an_old_version(tasks: int, missing: list[int], ranges: list[list[int]], types: list[str] | None) -> dict:
+    """A record with far more done bits than fit the lower limit."""
+    done = ((1 << tasks) - 1) & ~sum(1 << one for one in missing)
+    described = job("run-big", heads=tasks, trek_s=1.0, crew="guests", breeds=types)
+    record = records.JobRecord(msgspec.convert(described, records.Submission), 0.0, ranges).with_done(done)
+    return json.loads(bytes(records.write(record)))
+
+
+@pytest.mark.parametrize("ended", ["done", "withdrawn"])
+@pytest.mark.parametrize(
+    ("ranges", "types"),
+    [
+        ([[0, 0, 20000], [1, 20000, 40000], [2, 40000, 60000]], None),
+        ([[0, 0, 60000]], None),
+        ([[number % 3, 1250 * number, 1250 * (number + 1)] for number in range(48)], None),
+        ([[0, 0, 60000]], ["k8", *(f"unknown-type-{number}" for number in range(150))]),
+    ],
+    ids=["shared", "stolen", "many ranges", "many types"],
+)
+def test_a_record_that_is_too_large_moves_on(ranges: list[list[int]], types: list[str] | None, ended: str) -> None:
+    """Nothing is stuck, no done task is lost, and neither end needs a large write."""
+    pick = random.Random(7)
+    missing = sorted(pick.sample(range(200, 46000), 240))
+    day = Day(seed=61, machines=6, value_kb=16.0, later=LATER)
+    value = left_by_an_old_version(60000, missing, ranges, types)
+    assert len(json.dumps(value)) > 5000
+    day.state.ledger = 1
+    day.state.items["b/jobs/run-big"] = (value, 1, None)
+    described = job("run-big", heads=60000, trek_s=1.0, crew="guests", breeds=types)
+    day.site.jobs["run-big"] = described
+    day.site.finished |= {f"run-big/{index}" for index in range(60000) if index not in set(missing)}
+    day.accepted.add("run-big")
+    day.run(3)
+    day.state.lower(day.settings[HOSTS[0]].params.state)
+    day.run(10)
+    started = day.rules.starts
+    assert started >= 40
+    day.restart(HOSTS[0], SECOND)
+    if ended == "withdrawn":
+        assert day.cancel("run-big") == "withdrawn"
+    assert day.finish(240) == []
+    assert day.told["run-big"] == ended
+    if ended == "done":
+        assert day.rules.starts <= len(missing) + 60, "what was done is not done again, but for what the restart cost"
+    assert day.until(lambda: not any(key.startswith("b/done/") for key in day.state.items), 150), "pages go"
+    assert day.state.too_large == []
+    assert day.rules.broken == []
+
+
+def test_spilling_stops_anywhere_without_losing_a_task() -> None:
+    """Writes fail, get lost, or come late, between any two steps."""
+    day = Day(seed=62, machines=0, capacity=0, value_kb=16.0, later=LATER)
+    missing = list(range(100, 40000, 400))
+    day.state.ledger = 1
+    day.state.items["b/jobs/run-big"] = (left_by_an_old_version(40000, missing, [[0, 0, 40000]], None), 1, None)
+    day.run(4)
+    book = day.controllers[HOSTS[0]][0].book
+    before = book.done("run-big", book.active["run-big"])
+    day.state.lower(day.settings[HOSTS[0]].params.state)
+    day.state.late_writes = 0.4
+    for turn in range(60):
+        for controller, _ in day.controllers.values():
+            day.group.spawn(controller.book.spill("run-big"), "spill")
+        day.run(1)
+        if turn == 25:
+            day.restart(HOSTS[1], SECOND)
+        if turn == 40:
+            day.state.late_writes = 0.0
+        for controller, _ in day.controllers.values():
+            record = controller.book.active.get("run-big")
+            assert record is None or controller.book.done("run-big", record) == before
+    assert day.state.items["b/jobs/run-big"][0]["bits"] == ""
+    assert day.state.too_large == []
+
+
+@pytest.mark.parametrize(
+    ("write_rps", "refused", "lowered"), [(28.0, 0, False), (28.0, 2, False), (28.0, 3, True), (None, 9, False)]
+)
+def test_the_lower_rate_counts_once_it_shows(write_rps: float | None, refused: int, lowered: bool) -> None:
+    day = Day(seed=63, later=NextLimits(write_rps=write_rps))
+    day.run(3)
+    state = day.controllers[HOSTS[0]][0].state
+    full = state._writes._rate
+    for _ in range(refused):
+        state._over_limit()
+    assert (state._writes._rate < full) is lowered
+
+
+def test_what_is_refused_for_its_size_is_never_sent_again() -> None:
+    """Settings may be wrong: then everything is kept smaller from that answer on."""
+    day = Day(seed=64, value_kb=16.0, txn_ops=16)
+    day.run(4)
+    day.state.limits = StateLimits(100, 40, 1.5, 4)
+    state = day.controllers[HOSTS[0]][0].state
+
+    async def write(changes: int) -> None:
+        await state.transact([], [put(f"b/x/{one}", "y" * 100) for one in range(changes)], Urgency.COMPLETE)
+
+    with pytest.raises(Refused):
+        run(day.loop, write(8))
+    assert state.most_changes == 4
+    run(day.loop, write(state.most_changes))
+    for number in range(4):
+        day.submit(job(f"run-{number}", heads=12, trek_s=2.0))
+    assert day.finish() == []
+    assert len(day.state.too_large) <= 12
+    assert day.rules.broken == []
+
+
+def run(loop: Loop, coro: object) -> object:
+    return loop.run(loop.spawn(coro, "test"))
+
+
+@pytest.mark.parametrize("kinds", [2, 40])
+def test_a_large_catalog_is_kept_in_pieces(kinds: int) -> None:
+    """Where a restart in an outage of the cloud finds it; the version in production reads the pieces too."""
+    day = Day(seed=65, later=LATER)
+    for number in range(kinds):
+        name = f"kind-{number:03d}"
+        day.site.kinds[name] = Kind(name, 8.0, 32.0)
+    day.run(8)
+    stored = [key for key in day.state.items if key.startswith("b/catalog")]
+    assert (len(stored) == 1) is (kinds == 2)
+    day.site.cloud_down = True
+    day.old = {HOSTS[1]}
+    for host in HOSTS[:2]:
+        day.restart(host, SECOND)
+    day.run(8)
+    for host in HOSTS[:2]:
+        assert len(day.controllers[host][0].catalog) == kinds + 1
+    assert day.state.too_large == []
