--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -33,10 +33,17 @@
             raise pytest.UsageError(f"KNOWN-RED.txt names no test: {test}")
 
 
+def node_id(item: pytest.Item) -> str:
+    """A test's name without the group that `--dist loadgroup` appends to it."""
+    marker = item.get_closest_marker("xdist_group")
+    return item.nodeid.removesuffix(f"@{marker.args[0]}") if marker is not None else item.nodeid
+
+
+@pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     red = known_red(KNOWN_RED.read_text(encoding="utf-8")) if KNOWN_RED.exists() else {}
     whole = not config.invocation_params.args or all(arg.startswith("-") for arg in config.invocation_params.args)
-    mark_red({item.nodeid: item for item in items}, red, whole)
+    mark_red({node_id(item): item for item in items}, red, whole)
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
--- a/tests/test_rebalancing_loopback.py
+++ b/tests/test_rebalancing_loopback.py
@@ -13,6 +13,7 @@
 from tests.test_edges import PLATFORM
 
 MAX_RATIO = 2.0
+pytestmark = pytest.mark.xdist_group("loopback")  # in real time, so one after the other
 EQUALS = [Team("blue"), Team("red"), Team("green")]
 
 
