Structure: coordination as packages by duty, no import circles

Need: coordination was one room of 33 modules; scheduling's part, failures, guidance and reports, and the two rebalancing tools, imported one another.

Change: packages jobs, ownership, quotas, parts, fleet, membership and requests, each of which says what it owns and may import; `scheduling/part_state.py` has the part as those see it that it is built of; what a measurement gives has a module of its own; `rents_ahead` sits beside the rental plan. The test of imports forbids wrong directions between the packages and circles anywhere. Behaviour, wire, keys, log events and records as before.

--- /dev/null
+++ b/badgerroute/connectivity/worker_silence.py
@@ -0,0 +1,23 @@
+"""Which members' reports are overdue, and whether so many are that the fault may lie on our side."""
+
+from datetime import timedelta
+
+from badgerroute.scheduling.model import Machine
+from badgerroute.scheduling.part_state import PartView
+
+MIN_MACHINES = 3  # fewer silent machines say more of themselves than of us
+REPORT_SLACK = 1.5  # times the interval between two reports, which varies by a quarter
+REPORT_DELAY = timedelta(seconds=1)  # for the way of a report
+
+
+def overdue(machine: Machine, part: PartView, report: timedelta, now: timedelta) -> bool:
+    """Whether a report of a member should have come by now."""
+    heard = machine.heard or max(machine.joined, part.claimed_at)
+    return now - heard > report * REPORT_SLACK + REPORT_DELAY
+
+
+def silent(part: PartView, report: timedelta, now: timedelta) -> int:
+    """How many machines' reports are overdue, if they are half of all or more; those known to be lost don't count."""
+    expected = [machine for machine in part.machines.values() if machine.alive or not machine.fenced]
+    late = sum(overdue(machine, part, report, now) for machine in expected)
+    return late if len(expected) >= MIN_MACHINES and 2 * late >= len(expected) else 0
--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -5,28 +5,28 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from badgerroute.coordination.cancellation_broadcast import CancellationBroadcast
-from badgerroute.coordination.catalog import MachineCatalog
-from badgerroute.coordination.claims import Claim, Claims
-from badgerroute.coordination.fleet import Fleet
-from badgerroute.coordination.forecast import JobForecast
-from badgerroute.coordination.http_api import HttpApi
-from badgerroute.coordination.idle_machines import IdleMachines
-from badgerroute.coordination.job_reader import JobReader
-from badgerroute.coordination.job_store import JobStore
-from badgerroute.coordination.job_writer import JobWriter
-from badgerroute.coordination.mesh import Mesh
-from badgerroute.coordination.owner import Owner
-from badgerroute.coordination.part_hand_over import PartHandOver
-from badgerroute.coordination.part_requests import PartRequests
-from badgerroute.coordination.pipelines import Pipelines
-from badgerroute.coordination.progress_duty import ProgressDuty
-from badgerroute.coordination.quotas import TeamQuotas
-from badgerroute.coordination.reachability import WorkerReachability
-from badgerroute.coordination.record_paging import RecordPager
-from badgerroute.coordination.services import Services
-from badgerroute.coordination.siblings import Siblings
-from badgerroute.coordination.users import Users
+from badgerroute.coordination.fleet.catalog import MachineCatalog
+from badgerroute.coordination.fleet.idle_machines import IdleMachines
+from badgerroute.coordination.fleet.rentals import Fleet
+from badgerroute.coordination.jobs.cancellation_broadcast import CancellationBroadcast
+from badgerroute.coordination.jobs.job_reader import JobReader
+from badgerroute.coordination.jobs.job_store import JobStore
+from badgerroute.coordination.jobs.job_writer import JobWriter
+from badgerroute.coordination.jobs.pipelines import Pipelines
+from badgerroute.coordination.jobs.record_paging import RecordPager
+from badgerroute.coordination.membership.mesh import Mesh
+from badgerroute.coordination.membership.part_hand_over import PartHandOver
+from badgerroute.coordination.membership.reachability import WorkerReachability
+from badgerroute.coordination.membership.siblings import Siblings
+from badgerroute.coordination.ownership.claims import Claim, Claims
+from badgerroute.coordination.parts.forecast import JobForecast
+from badgerroute.coordination.parts.owner import Owner
+from badgerroute.coordination.parts.progress_duty import ProgressDuty
+from badgerroute.coordination.parts.services import Services
+from badgerroute.coordination.quotas.team_quotas import TeamQuotas
+from badgerroute.coordination.requests.http_api import HttpApi
+from badgerroute.coordination.requests.part_requests import PartRequests
+from badgerroute.coordination.requests.users import Users
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.protocol.state import Condition
 from badgerroute.scheduling.guidance import NEUTRAL, Guidance
--- a/badgerroute/coordination/idle_machines.py
+++ b/badgerroute/coordination/fleet/idle_machines.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from badgerroute.coordination.claims import Claims
-from badgerroute.coordination.fleet import rents_ahead
-from badgerroute.coordination.job_store import JobStore
-from badgerroute.coordination.owner import Owner
+from badgerroute.coordination.jobs.job_store import JobStore
+from badgerroute.coordination.ownership.claims import Claims
+from badgerroute.coordination.parts.owner import Owner
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.scheduling.model import Machine
+from badgerroute.scheduling.rental_planning import rents_ahead
 from badgerroute.settings import Settings
 from badgerroute.transport.loop import Loop
 
--- a/badgerroute/coordination/fleet.py
+++ b/badgerroute/coordination/fleet/rentals.py
@@ -5,16 +5,16 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from badgerroute.coordination.claims import Claims
+from badgerroute.coordination.ownership.claims import Claims
 from badgerroute.protocol.cloud import ListedMachine, MachineType
 from badgerroute.protocol.mesh import PartSummary
-from badgerroute.scheduling.objectives import Objectives
 from badgerroute.scheduling.rental_planning import (
     ExpectedMachines,
     RentalPlace,
     RentalPlan,
     price_per_cpu,
     rental_places,
+    rents_ahead,
 )
 from badgerroute.settings import Settings
 from badgerroute.storage import records
@@ -50,20 +50,6 @@
     since: timedelta
 
 
-def rents_ahead(settings: Settings, catalog: dict[str, MachineType]) -> bool:
-    """Whether machines must be up before the work comes.
-
-    Where work is expected to start sooner than a machine boots, renting on demand comes too late; where there is
-    time to boot, an idle machine costs and serves nobody.
-    """
-    if settings.operator.fleet.return_idle is not None:
-        return not settings.operator.fleet.return_idle
-    if not catalog:
-        return False
-    boot = min(timedelta(seconds=kind.boot_s) for kind in catalog.values())
-    return Objectives(settings.params.objectives).tightest < boot
-
-
 class Fleet:
     """Rents machines, and has them deleted."""
 
--- a/badgerroute/coordination/job_reader.py
+++ b/badgerroute/coordination/jobs/job_reader.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from itertools import islice
 
-from badgerroute.coordination.job_store import JobStore
+from badgerroute.coordination.jobs.job_store import JobStore
 from badgerroute.protocol.state import Item
 from badgerroute.protocol.users import JobView
 from badgerroute.storage import records
--- a/badgerroute/coordination/job_writer.py
+++ b/badgerroute/coordination/jobs/job_writer.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from badgerroute.coordination.job_reader import JobReader
-from badgerroute.coordination.job_store import JobStore
-from badgerroute.coordination.record_paging import KeyValue, RecordPager, RecordTooLargeError
+from badgerroute.coordination.jobs.job_reader import JobReader
+from badgerroute.coordination.jobs.job_store import JobStore
+from badgerroute.coordination.jobs.record_paging import KeyValue, RecordPager, RecordTooLargeError
 from badgerroute.protocol.state import Condition, Put, Remove
 from badgerroute.protocol.users import Submission
 from badgerroute.storage import records
--- a/badgerroute/coordination/pipelines.py
+++ b/badgerroute/coordination/jobs/pipelines.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from badgerroute.coordination.job_reader import JobReader
-from badgerroute.coordination.job_store import JobStore
+from badgerroute.coordination.jobs.job_reader import JobReader
+from badgerroute.coordination.jobs.job_store import JobStore
 from badgerroute.protocol.state import Put, Remove
 from badgerroute.storage import records
 from badgerroute.storage.budget import Urgency
--- a/badgerroute/coordination/record_paging.py
+++ b/badgerroute/coordination/jobs/record_paging.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from badgerroute.coordination.job_store import JobStore, page_key
+from badgerroute.coordination.jobs.job_store import JobStore, page_key
 from badgerroute.protocol.users import Submission
 from badgerroute.storage import records
 from badgerroute.storage.budget import Urgency
--- a/badgerroute/coordination/part_hand_over.py
+++ b/badgerroute/coordination/membership/part_hand_over.py
@@ -3,10 +3,10 @@
 import logging
 from datetime import timedelta
 
-from badgerroute.coordination.claims import Claims
-from badgerroute.coordination.owner import Owner
-from badgerroute.coordination.reachability import WorkerReachability
-from badgerroute.coordination.siblings import Siblings
+from badgerroute.coordination.membership.reachability import WorkerReachability
+from badgerroute.coordination.membership.siblings import Siblings
+from badgerroute.coordination.ownership.claims import Claims
+from badgerroute.coordination.parts.owner import Owner
 from badgerroute.protocol.mesh import MisdirectedReport
 from badgerroute.settings import Settings
 from badgerroute.transport.loop import Loop
--- a/badgerroute/coordination/reachability.py
+++ b/badgerroute/coordination/membership/reachability.py
@@ -10,8 +10,6 @@
 from datetime import timedelta
 
 from badgerroute.protocol import mesh as wire
-from badgerroute.scheduling.model import Machine
-from badgerroute.scheduling.part import Part
 from badgerroute.storage import records
 from badgerroute.storage.records import MachineRecord
 from badgerroute.storage.replica import MACHINES, Replica
@@ -20,7 +18,6 @@
 from badgerroute.transport.net import Network
 
 log = logging.getLogger("badgerroute.reachability")
-FEWEST = 3  # machines whose silence says something of us rather than of them
 MIN_MISDIRECTED = 2  # and one for each
 SILENT_PER_MISDIRECTED = 8  # silent machines
 MISDIRECTED_TTL = timedelta(seconds=6)
@@ -29,19 +26,6 @@
 PROBE_LIMIT = timedelta(seconds=1)
 
 
-def overdue(machine: Machine, part: Part, report: timedelta, now: timedelta) -> bool:
-    """Whether a report of a member should have come by now."""
-    heard = machine.heard or max(machine.joined, part.claimed_at)
-    return now - heard > report * 1.5 + timedelta(seconds=1)
-
-
-def silent(part: Part, report: timedelta, now: timedelta) -> int:
-    """How many machines' reports are overdue, if they are half of all or more; those known to be lost don't count."""
-    expected = [one for one in part.machines.values() if one.alive or not one.fenced]
-    late = sum(overdue(one, part, report, now) for one in expected)
-    return late if len(expected) >= FEWEST and 2 * late >= len(expected) else 0
-
-
 class WorkerReachability:
     """Whether workers reach this controller."""
 
--- a/badgerroute/coordination/siblings.py
+++ b/badgerroute/coordination/membership/siblings.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from badgerroute.coordination.claims import Claims
-from badgerroute.coordination.owner import Owner
+from badgerroute.coordination.ownership.claims import Claims
+from badgerroute.coordination.parts.owner import Owner
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.settings import Settings
 from badgerroute.transport.loop import Loop
--- a/badgerroute/coordination/deleted_machines.py
+++ b/badgerroute/coordination/parts/deleted_machines.py
@@ -3,7 +3,7 @@
 import logging
 from datetime import timedelta
 
-from badgerroute.coordination.services import Services
+from badgerroute.coordination.parts.services import Services
 from badgerroute.protocol.state import Put, Remove
 from badgerroute.scheduling.part import Part
 from badgerroute.storage import records
--- a/badgerroute/coordination/fencing.py
+++ b/badgerroute/coordination/parts/fencing.py
@@ -3,8 +3,8 @@
 import logging
 from datetime import timedelta
 
-from badgerroute.coordination.machine_commands import MachineCommands
-from badgerroute.coordination.services import Services
+from badgerroute.coordination.parts.machine_commands import MachineCommands
+from badgerroute.coordination.parts.services import Services
 from badgerroute.scheduling.model import Machine
 from badgerroute.scheduling.part import Part
 from badgerroute.transport.loop import Group
--- a/badgerroute/coordination/forecast.py
+++ b/badgerroute/coordination/parts/forecast.py
@@ -7,8 +7,8 @@
 from datetime import timedelta
 from math import inf
 
-from badgerroute.coordination.job_store import JobStore
-from badgerroute.coordination.owner import Owner
+from badgerroute.coordination.jobs.job_store import JobStore
+from badgerroute.coordination.parts.owner import Owner
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.mesh import PartSummary
 from badgerroute.scheduling import ladder
--- a/badgerroute/coordination/machine_commands.py
+++ b/badgerroute/coordination/parts/machine_commands.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from badgerroute.coordination.services import Services
+from badgerroute.coordination.parts.services import Services
 from badgerroute.protocol.common import MalformedError, encode
 from badgerroute.protocol.workers import Command, DirectCommands, Report, parse_report
 from badgerroute.scheduling.model import Machine
--- a/badgerroute/coordination/machine_loans.py
+++ b/badgerroute/coordination/parts/machine_loans.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from badgerroute.coordination.services import Services
+from badgerroute.coordination.parts.services import Services
 from badgerroute.protocol.mesh import MachineLoanRequest
 from badgerroute.protocol.state import Put
 from badgerroute.scheduling.model import Machine, allows, need_of
--- a/badgerroute/coordination/member_registry.py
+++ b/badgerroute/coordination/parts/member_registry.py
@@ -3,7 +3,7 @@
 import logging
 from datetime import timedelta
 
-from badgerroute.coordination.services import Services
+from badgerroute.coordination.parts.services import Services
 from badgerroute.storage import records
 from badgerroute.storage.budget import Urgency
 from badgerroute.storage.records import MachineRecord
--- a/badgerroute/coordination/migration.py
+++ b/badgerroute/coordination/parts/migration.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from badgerroute.coordination.services import Services
+from badgerroute.coordination.parts.services import Services
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.protocol.state import Condition, Put
 from badgerroute.scheduling.capacities import ANY_ZONE, holds_whole_job, slots_by_zone
--- a/badgerroute/coordination/owner.py
+++ b/badgerroute/coordination/parts/owner.py
@@ -4,19 +4,19 @@
 from collections import Counter
 from datetime import timedelta
 
-from badgerroute.coordination import reachability, summary
-from badgerroute.coordination.claims import Claim
-from badgerroute.coordination.deleted_machines import DeletedMachines
-from badgerroute.coordination.fencing import Fencing
-from badgerroute.coordination.fleet import rents_ahead
-from badgerroute.coordination.job_writer import Progress
-from badgerroute.coordination.machine_commands import MachineCommands
-from badgerroute.coordination.machine_loans import MachineLoans
-from badgerroute.coordination.member_registry import MemberRegistry
-from badgerroute.coordination.migration import WorkMigration
-from badgerroute.coordination.processor_use import processor_use
-from badgerroute.coordination.services import Services
-from badgerroute.coordination.share_exchange import ShareExchange
+from badgerroute.connectivity import worker_silence
+from badgerroute.coordination.jobs.job_writer import Progress
+from badgerroute.coordination.ownership.claims import Claim
+from badgerroute.coordination.parts import summary
+from badgerroute.coordination.parts.deleted_machines import DeletedMachines
+from badgerroute.coordination.parts.fencing import Fencing
+from badgerroute.coordination.parts.machine_commands import MachineCommands
+from badgerroute.coordination.parts.machine_loans import MachineLoans
+from badgerroute.coordination.parts.member_registry import MemberRegistry
+from badgerroute.coordination.parts.migration import WorkMigration
+from badgerroute.coordination.parts.processor_use import processor_use
+from badgerroute.coordination.parts.services import Services
+from badgerroute.coordination.parts.share_exchange import ShareExchange
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.protocol.workers import Report, ReportAnswer
 from badgerroute.scheduling import draining
@@ -24,6 +24,7 @@
 from badgerroute.scheduling.objectives import Objectives
 from badgerroute.scheduling.part import Part
 from badgerroute.scheduling.planner import Planner
+from badgerroute.scheduling.rental_planning import rents_ahead
 from badgerroute.storage import records
 from badgerroute.storage.records import MachineRecord
 from badgerroute.storage.replica import MACHINES
@@ -330,11 +331,11 @@
         """Whether a machine is a member whose report should have come by now."""
         machine = self.part.machines.get(name)
         report, now = self._settings.params.workers.report, self._loop.now()
-        return machine is not None and reachability.overdue(machine, self.part, report, now)
+        return machine is not None and worker_silence.overdue(machine, self.part, report, now)
 
     def silent(self) -> int:
         """How many machines' reports are overdue, if they are half of all or more."""
-        return reachability.silent(self.part, self._settings.params.workers.report, self._loop.now())
+        return worker_silence.silent(self.part, self._settings.params.workers.report, self._loop.now())
 
     # -- progress
 
--- a/badgerroute/coordination/progress_duty.py
+++ b/badgerroute/coordination/parts/progress_duty.py
@@ -3,10 +3,10 @@
 import logging
 from datetime import timedelta
 
-from badgerroute.coordination.forecast import JobForecast
-from badgerroute.coordination.job_store import JobStore
-from badgerroute.coordination.job_writer import ClaimOf, JobWriter, Progress
-from badgerroute.coordination.owner import Owner
+from badgerroute.coordination.jobs.job_store import JobStore
+from badgerroute.coordination.jobs.job_writer import ClaimOf, JobWriter, Progress
+from badgerroute.coordination.parts.forecast import JobForecast
+from badgerroute.coordination.parts.owner import Owner
 from badgerroute.storage.state import LeaseExpiredError, OutcomeUnknownError, StateUnavailableError
 from badgerroute.transport.loop import Future, Loop
 
--- a/badgerroute/coordination/services.py
+++ b/badgerroute/coordination/parts/services.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from badgerroute.coordination.claims import Claims
-from badgerroute.coordination.job_reader import JobReader
-from badgerroute.coordination.job_store import JobStore, Publish
-from badgerroute.coordination.quotas import TeamQuotas
-from badgerroute.coordination.record_paging import RecordPager
+from badgerroute.coordination.jobs.job_reader import JobReader
+from badgerroute.coordination.jobs.job_store import JobStore, Publish
+from badgerroute.coordination.jobs.record_paging import RecordPager
+from badgerroute.coordination.ownership.claims import Claims
+from badgerroute.coordination.quotas.team_quotas import TeamQuotas
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.mesh import MachineLoanRequest, ShareRequest
 from badgerroute.scheduling.guidance import Guidance
--- a/badgerroute/coordination/share_exchange.py
+++ b/badgerroute/coordination/parts/share_exchange.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from badgerroute.coordination.services import Services
+from badgerroute.coordination.parts.services import Services
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.scheduling.model import ZERO, Room
 from badgerroute.scheduling.part import Part
--- a/badgerroute/coordination/http_api.py
+++ b/badgerroute/coordination/requests/http_api.py
@@ -3,12 +3,12 @@
 import zlib
 from collections.abc import Callable
 
-from badgerroute.coordination.claims import Claims
-from badgerroute.coordination.mesh import Mesh
-from badgerroute.coordination.owner import Owner
-from badgerroute.coordination.reachability import WorkerReachability
-from badgerroute.coordination.siblings import Siblings
-from badgerroute.coordination.users import Users, answer, come_back, error
+from badgerroute.coordination.membership.mesh import Mesh
+from badgerroute.coordination.membership.reachability import WorkerReachability
+from badgerroute.coordination.membership.siblings import Siblings
+from badgerroute.coordination.ownership.claims import Claims
+from badgerroute.coordination.parts.owner import Owner
+from badgerroute.coordination.requests.users import Users, answer, come_back, error
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.protocol.common import MalformedError
 from badgerroute.protocol.workers import Redirect, parse_report
--- a/badgerroute/coordination/part_requests.py
+++ b/badgerroute/coordination/requests/part_requests.py
@@ -5,10 +5,10 @@
 
 from datetime import timedelta
 
-from badgerroute.coordination.claims import Claims
-from badgerroute.coordination.mesh import Mesh
-from badgerroute.coordination.owner import Owner
-from badgerroute.coordination.siblings import Siblings
+from badgerroute.coordination.membership.mesh import Mesh
+from badgerroute.coordination.membership.siblings import Siblings
+from badgerroute.coordination.ownership.claims import Claims
+from badgerroute.coordination.parts.owner import Owner
 from badgerroute.protocol.mesh import FreeCapacity, MachineLoanRequest, PartSummary, ShareRequest, StealRequest
 from badgerroute.scheduling.capacities import fits_capacity
 from badgerroute.transport.loop import Group, Loop
--- a/badgerroute/coordination/users.py
+++ b/badgerroute/coordination/requests/users.py
@@ -3,11 +3,11 @@
 import logging
 from collections.abc import Callable
 
-from badgerroute.coordination.job_reader import JobLookup, JobReader
-from badgerroute.coordination.job_store import JobStore
-from badgerroute.coordination.job_writer import JobWriter
-from badgerroute.coordination.record_paging import RecordPager, RecordTooLargeError
-from badgerroute.coordination.split import split
+from badgerroute.coordination.jobs.job_reader import JobLookup, JobReader
+from badgerroute.coordination.jobs.job_store import JobStore
+from badgerroute.coordination.jobs.job_writer import JobWriter
+from badgerroute.coordination.jobs.record_paging import RecordPager, RecordTooLargeError
+from badgerroute.coordination.requests.split import split
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.common import MalformedError, encode
 from badgerroute.protocol.mesh import PartSummary
--- a/badgerroute/rebalancing/part_guidance.py
+++ b/badgerroute/rebalancing/part_guidance.py
@@ -9,7 +9,8 @@
 from badgerroute.rebalancing.waits import RecentWaits, busy_machines
 from badgerroute.scheduling.guidance import Guidance
 from badgerroute.scheduling.model import Job, Machine, Placement
-from badgerroute.scheduling.part import Part, Usage
+from badgerroute.scheduling.part import Usage
+from badgerroute.scheduling.part_state import PartView
 from badgerroute.transport.loop import Loop
 
 MEAN_KEPT = timedelta(milliseconds=100)
@@ -93,6 +94,6 @@
         """See Guidance."""
         return self._drain_deadline(machine)
 
-    def load(self, part: Part, now: timedelta) -> PartLoad:
+    def load(self, part: PartView, now: timedelta) -> PartLoad:
         """See Guidance."""
         return PartLoad(self.waits.snapshot(part, now), busy_machines(part))
--- a/badgerroute/rebalancing/service.py
+++ b/badgerroute/rebalancing/service.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from badgerroute.coordination.controller import Controller
-from badgerroute.coordination.owner import Owner
+from badgerroute.coordination.parts.owner import Owner
 from badgerroute.protocol.mesh import StealRequest
 from badgerroute.rebalancing.drains import DrainProgress, DrainRegistry
 from badgerroute.rebalancing.local_waits import LocalWaits
--- a/badgerroute/rebalancing/waits.py
+++ b/badgerroute/rebalancing/waits.py
@@ -7,7 +7,7 @@
 
 from badgerroute.protocol.mesh import ClassWaits
 from badgerroute.scheduling.model import ZERO, Job
-from badgerroute.scheduling.part import Part
+from badgerroute.scheduling.part_state import PartView
 
 MIN_MS = 1
 MAX_MS = 3_600_000  # an hour: longer waits count as this
@@ -81,7 +81,7 @@
             return key
         return job.spec.team, OTHER_CLASSES
 
-    def snapshot(self, part: Part, now: timedelta) -> list[ClassWaits]:
+    def snapshot(self, part: PartView, now: timedelta) -> list[ClassWaits]:
         """The waits as the other controllers are told of them."""
         self._rotate(now)
         pending = self._pending(part, now)
@@ -98,7 +98,7 @@
             found.append(ClassWaits(*key, tasks, oldest.total_seconds(), histogram.encode().decode()))
         return found
 
-    def _pending(self, part: Part, now: timedelta) -> dict[ClassKey, _Pending]:
+    def _pending(self, part: PartView, now: timedelta) -> dict[ClassKey, _Pending]:
         """Tasks that wait for a place. What waits for its team's limit waits for nobody else's work."""
         found: dict[ClassKey, _Pending] = {}
         for job in part.jobs.values():
@@ -116,7 +116,7 @@
         return found
 
 
-def busy_machines(part: Part) -> list[int]:
+def busy_machines(part: PartView) -> list[int]:
     """How many machines are up to a tenth used, up to two tenths, and so on."""
     counts = [0] * 10
     for machine in part.machines.values():
--- a/badgerroute/scheduling/failures.py
+++ b/badgerroute/scheduling/failures.py
@@ -2,13 +2,10 @@
 
 import logging
 from datetime import timedelta
-from typing import TYPE_CHECKING
 
 from badgerroute.scheduling.events import Events
 from badgerroute.scheduling.model import ZERO, Job, Machine, Placement
-
-if TYPE_CHECKING:
-    from badgerroute.scheduling.part import Part
+from badgerroute.scheduling.part_state import PartState
 
 log = logging.getLogger("badgerroute.part")
 SICK_JOBS = 2  # so many different jobs failing on a machine make it suspect
@@ -24,7 +21,7 @@
 class FailureJudge:
     """Judges the failures in one part."""
 
-    def __init__(self, part: "Part") -> None:
+    def __init__(self, part: PartState) -> None:
         self._part = part
 
     def failed(self, job: Job, placement: Placement, cause: str, events: Events, now: timedelta) -> None:
--- a/badgerroute/scheduling/guidance.py
+++ b/badgerroute/scheduling/guidance.py
@@ -6,16 +6,13 @@
 """
 
 from datetime import timedelta
-from typing import TYPE_CHECKING
 
 from msgspec import UNSET, UnsetType
 
 from badgerroute.protocol.mesh import PartLoad
 from badgerroute.scheduling import ladder
-
-if TYPE_CHECKING:
-    from badgerroute.scheduling.model import Job, Machine, Placement
-    from badgerroute.scheduling.part import Part
+from badgerroute.scheduling.model import Job, Machine, Placement
+from badgerroute.scheduling.part_state import PartView
 
 
 class Guidance:
@@ -47,7 +44,7 @@
         """When a machine is to be empty, on the steady clock; None: it is not to be drained."""
         return None
 
-    def load(self, part: "Part", now: timedelta) -> PartLoad | UnsetType:
+    def load(self, part: PartView, now: timedelta) -> PartLoad | UnsetType:
         """What the other controllers are told of the part's waits and load."""
         return UNSET
 
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -86,6 +86,11 @@
         self._counter = 0
         self._fastest = 1e-6  # GB a second, of the machines ever here
 
+    @property
+    def image_fetched(self) -> Callable[[Placement, timedelta], None]:
+        """Told of each image that was fetched, and how long that took."""
+        return self.guidance.image_fetched
+
     # -- membership
 
     def add_machine(self, name: str, record: MachineRecord, kind: MachineType, now: timedelta) -> Machine:
--- a/badgerroute/scheduling/rental_planning.py
+++ b/badgerroute/scheduling/rental_planning.py
@@ -5,13 +5,15 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import NamedTuple
 
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.mesh import PartSummary, PendingDemand
 from badgerroute.scheduling.capacities import room_of
 from badgerroute.scheduling.model import Room, capacity_of
-from badgerroute.settings import Team
+from badgerroute.scheduling.objectives import Objectives
+from badgerroute.settings import Settings, Team
 
 
 class RentalPlace(NamedTuple):
@@ -179,3 +181,17 @@
         self._wanted[place] = self._wanted.get(place, 0) + machines
         _, remaining = _RoomGroup(place, whole, machines).fill(need, tasks)
         self._groups += remaining
+
+
+def rents_ahead(settings: Settings, catalog: dict[str, MachineType]) -> bool:
+    """Whether machines must be up before the work comes.
+
+    Where work is expected to start sooner than a machine boots, renting on demand comes too late; where there is
+    time to boot, an idle machine costs and serves nobody.
+    """
+    if settings.operator.fleet.return_idle is not None:
+        return not settings.operator.fleet.return_idle
+    if not catalog:
+        return False
+    boot = min(timedelta(seconds=kind.boot_s) for kind in catalog.values())
+    return Objectives(settings.params.objectives).tightest < boot
--- a/badgerroute/scheduling/reports.py
+++ b/badgerroute/scheduling/reports.py
@@ -7,15 +7,12 @@
 import logging
 from dataclasses import dataclass, field
 from datetime import timedelta
-from typing import TYPE_CHECKING
 
 from badgerroute.protocol.workers import Report, TaskReport, split_task
 from badgerroute.scheduling.events import Events
 from badgerroute.scheduling.failures import FailureJudge
 from badgerroute.scheduling.model import ZERO, Job, Machine, Phase, Placement
-
-if TYPE_CHECKING:
-    from badgerroute.scheduling.part import Part
+from badgerroute.scheduling.part_state import PartState
 
 log = logging.getLogger("badgerroute.part")
 PHASES = {
@@ -55,7 +52,7 @@
 class ReportReader:
     """Takes in the task lists of one part's machines."""
 
-    def __init__(self, part: "Part", failures: FailureJudge) -> None:
+    def __init__(self, part: PartState, failures: FailureJudge) -> None:
         self._part, self._failures = part, failures
 
     def on_report(self, machine: Machine, report: Report, checkin: bool, now: timedelta) -> Events | None:
@@ -182,7 +179,7 @@
         if image in machine.complete or not placement.timed:
             return
         asked = [one.since for one in machine.placements.values() if one.job.spec.image == image]
-        self._part.guidance.image_fetched(placement, now - min(asked))
+        self._part.image_fetched(placement, now - min(asked))
 
     def _adopt(self, message: Message, ref: str, index: int, task: TaskReport) -> Placement | None:
         """A task that we did not start: a former owner's. Keep it if it is ours, else it has to go."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from badgerroute.coordination.processor_use import ProcessorUse, processor_use
-from badgerroute.coordination.split import split
+from badgerroute.coordination.parts.processor_use import ProcessorUse, processor_use
+from badgerroute.coordination.requests.split import split
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.mesh import FreeCapacity, PartSummary, PendingDemand
 from badgerroute.protocol.users import Priority, Submission
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -6,10 +6,10 @@
 import msgspec
 import pytest
 
-from badgerroute.coordination import forecast
-from badgerroute.coordination.machine_commands import MachineCommands
-from badgerroute.coordination.quotas import TeamQuotas
-from badgerroute.coordination.users import Users, answer
+from badgerroute.coordination.parts import forecast
+from badgerroute.coordination.parts.machine_commands import MachineCommands
+from badgerroute.coordination.quotas.team_quotas import TeamQuotas
+from badgerroute.coordination.requests.users import Users, answer
 from badgerroute.settings import Objective
 from badgerroute.storage import records
 from badgerroute.transport.http import Response
@@ -482,7 +482,7 @@
 
     monkeypatch.setattr(MachineCommands, "send", send)
     monkeypatch.setattr(
-        "badgerroute.coordination.machine_commands.encode",
+        "badgerroute.coordination.parts.machine_commands.encode",
         lambda message: __import__("msgspec").json.encode(
             type(message)(message.token, message.session, [getattr(one, "inner", one) for one in message.commands])
             if hasattr(message, "session")
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -412,19 +412,77 @@
     "protocol": set(),
     "storage": {"transport", "protocol", "settings"},
     "scheduling": {"protocol", "settings", "storage.records"},
-    "coordination": {"transport", "protocol", "settings", "storage", "scheduling"},
+    "connectivity": {"protocol", "settings", "scheduling"},
+    "coordination/jobs": {"transport", "protocol", "settings", "storage", "scheduling"},
+    "coordination/ownership": {"transport", "protocol", "settings", "storage", "connectivity"},
+    "coordination/quotas": {"transport", "protocol", "settings", "storage", "scheduling"},
+    "coordination/parts": {
+        *("transport", "protocol", "settings", "storage", "scheduling", "connectivity"),
+        *("coordination.jobs", "coordination.ownership", "coordination.quotas"),
+    },
+    "coordination/fleet": {
+        *("transport", "protocol", "settings", "storage", "scheduling", "connectivity"),
+        *("coordination.jobs", "coordination.ownership", "coordination.parts"),
+    },
+    "coordination/membership": {
+        *("transport", "protocol", "settings", "storage", "scheduling", "connectivity"),
+        *("coordination.ownership", "coordination.parts"),
+    },
+    "coordination/requests": {
+        "transport",
+        "protocol",
+        "settings",
+        "storage",
+        "scheduling",
+        "connectivity",
+        "coordination",
+    },
+    "coordination": {"transport", "protocol", "settings", "storage", "scheduling", "connectivity"},
     "rebalancing": {"transport", "protocol", "settings", "storage", "scheduling", "coordination"},
 }
+PACKAGE = Path(badgerroute.__file__).parent
+PROJECT = PACKAGE.parent
+
+
+def imports_of(path: Path) -> list[str]:
+    """Modules of the project that a module names, wherever in its text it does."""
+    names: list[str] = []
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            names += [node.module, *(f"{node.module}.{alias.name}" for alias in node.names)]
+        elif isinstance(node, ast.Import):
+            names += [alias.name for alias in node.names]
+    return [name for name in names if name.startswith(("badgerroute", "tools"))]
 
 
 @pytest.mark.parametrize("layer", LAYERS)
 def test_dependencies_point_down(layer: str) -> None:
     """Each layer imports itself and those below only; the pure core of the others nothing but the records."""
-    allowed = tuple(f"badgerroute.{name}" for name in {layer, *LAYERS[layer]})
-    package = Path(badgerroute.__file__).parent
-    for path in sorted((package / layer).glob("*.py")):
-        for node in ast.walk(ast.parse(path.read_text())):
-            names = [node.module or ""] if isinstance(node, ast.ImportFrom) else []
-            names += [alias.name for alias in node.names] if isinstance(node, ast.Import) else []
-            ours = [name for name in names if name.startswith("badgerroute")]
-            assert all(name.startswith(allowed) for name in ours), f"{path.name}: {ours}"
+    allowed = tuple(f"badgerroute.{name}" for name in {layer.replace("/", "."), *LAYERS[layer]})
+    for path in sorted((PACKAGE / layer).glob("*.py")):
+        ours = imports_of(path)
+        assert all(name.startswith(allowed) for name in ours), f"{path.name}: {ours}"
+
+
+def test_every_package_has_its_layer() -> None:
+    packages = {path.parent.relative_to(PACKAGE).as_posix() for path in PACKAGE.rglob("__init__.py")}
+    assert packages - {".", "settings"} == set(LAYERS)
+
+
+def circles(graph: dict[str, set[str]]) -> list[str]:
+    """Modules from which one comes back to them."""
+    reachable = {module: set(graph[module]) for module in graph}
+    for middle in graph:
+        for module in graph:
+            if middle in reachable[module]:
+                reachable[module] |= reachable[middle]
+    return sorted(module for module in graph if module in reachable[module])
+
+
+def test_no_import_circles() -> None:
+    paths = [*PACKAGE.rglob("*.py"), *(PROJECT / "tools").glob("*.py")]
+    modules = {path.relative_to(PROJECT).with_suffix("").as_posix().replace("/", "."): path for path in paths}
+    modules = {name: path for name, path in modules.items() if not name.endswith("__init__")}
+    graph = {name: set(imports_of(path)) & modules.keys() for name, path in modules.items()}
+    assert circles(graph) == []
+    assert circles({"a": {"b"}, "b": {"c"}, "c": {"b"}}) == ["b", "c"], "a circle would be found"
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,9 +11,9 @@
 import pytest
 
 from badgerroute.coordination import controller as controller_module
-from badgerroute.coordination import deleted_machines as deleted_machines_module
-from badgerroute.coordination.owner import Owner
-from badgerroute.coordination.summary import summarize
+from badgerroute.coordination.parts import deleted_machines as deleted_machines_module
+from badgerroute.coordination.parts.owner import Owner
+from badgerroute.coordination.parts.summary import summarize
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.users import parse_submission
 from badgerroute.protocol.workers import Report, ReportAnswer, TaskReport
--- a/tests/test_left_waiting.py
+++ b/tests/test_left_waiting.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from badgerroute.coordination import users as users_module
+from badgerroute.coordination.requests import users as users_module
 from badgerroute.protocol.common import MalformedError
 from badgerroute.protocol.mesh import PartSummary
 from badgerroute.protocol.users import Submission, parse_submission
--- a/tests/test_measurement.py
+++ b/tests/test_measurement.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from tools.rebalancing_measurement import DayResult, Wait, main, summarize, table
+from tools.rebalancing_measurement import main, table
 from tools.rebalancing_report import render
+from tools.rebalancing_results import DayResult, Wait, summarize
 
 
 def day(seed: int, on: bool, worst: float, problems: list[str] | None = None) -> DayResult:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from badgerroute.coordination.cancellation_broadcast import CancellationBroadcast
+from badgerroute.coordination.jobs.cancellation_broadcast import CancellationBroadcast
 from badgerroute.protocol.mesh import CancellationNotice
 from badgerroute.settings import Objective
 from tests.standins.day import HOSTS, SECOND, Day, job
@@ -127,7 +127,9 @@
     if guard == "grace":
         monkeypatch.setattr("badgerroute.settings.Settings.grace", property(lambda self: 60 * SECOND))
     else:
-        monkeypatch.setattr("badgerroute.coordination.claims.Claims.proved", property(lambda self: self._loop.now()))
+        monkeypatch.setattr(
+            "badgerroute.coordination.ownership.claims.Claims.proved", property(lambda self: self._loop.now())
+        )
     day = gap(0.0, 14, 58, "cut", well)
     assert any("ran_cancelled" in text for text in day.rules.broken)
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from badgerroute.coordination.job_writer import JobWriter, Progress
+from badgerroute.coordination.jobs.job_writer import JobWriter, Progress
 from badgerroute.settings import Objective
 from badgerroute.transport.http import Client, NoAnswerError
 from tests.standins.day import HOSTS, SECOND, Day, job
--- a/tests/test_pipeline_edges.py
+++ b/tests/test_pipeline_edges.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from badgerroute.coordination.job_reader import JobReader
+from badgerroute.coordination.jobs.job_reader import JobReader
 from badgerroute.protocol.state import names_ended_lease
 from badgerroute.protocol.users import Submission
 from badgerroute.scheduling.dependencies import Dependencies, FinalState
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -7,8 +7,8 @@
 import msgspec
 import pytest
 
-from badgerroute.coordination.job_reader import JobLookup, JobReader
-from badgerroute.coordination.pipelines import Pipelines
+from badgerroute.coordination.jobs.job_reader import JobLookup, JobReader
+from badgerroute.coordination.jobs.pipelines import Pipelines
 from badgerroute.protocol.users import Submission
 from badgerroute.scheduling.dependencies import Dependencies, FinalState
 from badgerroute.scheduling.inheritance import LOOKS_BETWEEN_CLOCKS, InheritancePass, Inherited
@@ -490,8 +490,8 @@
 @pytest.mark.parametrize(
     ("target", "cheat", "rule"),
     [
-        ("badgerroute.coordination.job_store.JobStore.waits", lambda self, ref: False, "too_early"),
-        ("badgerroute.coordination.job_reader.JobReader.current", looks_at_the_record_only, "orphaned"),
+        ("badgerroute.coordination.jobs.job_store.JobStore.waits", lambda self, ref: False, "too_early"),
+        ("badgerroute.coordination.jobs.job_reader.JobReader.current", looks_at_the_record_only, "orphaned"),
     ],
     ids=["starts what waits", "forgets dependents"],
 )
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,10 +6,10 @@
 import msgspec
 import pytest
 
-from badgerroute.coordination import summary as summary_module
-from badgerroute.coordination.fencing import Fencing
-from badgerroute.coordination.mesh import MAX_QUEUED_BYTES, _Link
-from badgerroute.coordination.summary import summarize
+from badgerroute.coordination.membership.mesh import MAX_QUEUED_BYTES, _Link
+from badgerroute.coordination.parts import summary as summary_module
+from badgerroute.coordination.parts.fencing import Fencing
+from badgerroute.coordination.parts.summary import summarize
 from badgerroute.protocol import mesh
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.mesh import FreeCapacity, PartLoad, PartSummary, PendingDemand
--- a/tools/rebalancing_measurement.py
+++ b/tools/rebalancing_measurement.py
@@ -6,15 +6,16 @@
 import argparse
 import json
 import sys
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict
 from pathlib import Path
-from statistics import mean, median, pstdev
+from statistics import median
 
 from badgerroute.rebalancing.service import Rebalancer
 from badgerroute.settings import OperatorSettings, Rebalancing, Team
 from tests.standins.day import SECOND, Day
 from tests.standins.history import wait_ratios
 from tests.standins.loads import hot_team
+from tools.rebalancing_results import DayResult, Wait, summarize
 
 TEAMS = [Team("blue"), Team("red"), Team("green")]
 CPUS_PER_MACHINE = 4.0
@@ -25,52 +26,6 @@
 END_LIMIT_S = 300
 
 
-@dataclass
-class Wait:
-    """How long a task waited whose job was submitted at `submitted_s`."""
-
-    team: str
-    submitted_s: float
-    wait_s: float
-
-
-@dataclass
-class DayResult:
-    """One day: its waits, what was moved, and what went wrong."""
-
-    seed: int
-    on: bool
-    machines: int
-    ratios: dict[str, float]  # team -> its median wait, in medians of the fleet
-    makespan_s: float
-    moves: int
-    move_cost_cpu_s: float
-    runs_stopped: int
-    starts: int
-    problems: list[str] = field(default_factory=list)
-    waits: list[Wait] = field(default_factory=list)
-
-    @property
-    def worst_ratio(self) -> float:
-        """Of the team that waits longest."""
-        return max(self.ratios.values())
-
-
-@dataclass(frozen=True)
-class Summary:
-    """The spread of one figure over the seeds."""
-
-    least: float
-    mean: float
-    most: float
-    deviation: float
-
-
-def summarize(values: list[float]) -> Summary:
-    """Least, mean, most and standard deviation."""
-    return Summary(min(values), mean(values), max(values), pstdev(values))
-
-
 def play(seed: int, on: bool, machines: int, per_turn: int) -> DayResult:
     """Play one day of a team that triples its load."""
     rebalancers: list[Rebalancer] = []
--- a/tools/rebalancing_report.py
+++ b/tools/rebalancing_report.py
@@ -9,7 +9,7 @@
 
 from matplotlib import pyplot  # noqa: E402  (the drawing back end must be chosen first)
 
-from tools.rebalancing_measurement import DayResult, summarize  # noqa: E402
+from tools.rebalancing_results import DayResult, summarize  # noqa: E402
 
 TEAM_COLOURS = {"blue": "tab:blue", "red": "tab:red", "green": "tab:green"}
 ALLOWED_RATIO = 2.0
