--- /dev/null
+++ b/badgerroute/connectivity/hand_over_choice.py
@@ -0,0 +1,25 @@
+"""To which sibling an owner that its workers don't reach hands a part."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A sibling that may own a part."""
+
+    host: str
+    machines_heard: int  # of the part
+    machines_owned: int  # of all its parts
+
+
+def choose_receiver(candidates: list[Candidate], machines: int) -> Candidate | None:
+    """The sibling that would own fewest machines, among those that hear at least half as many as the one hearing most.
+
+    `machines`: how many the part has, which its new owner gets on top of what it owns.
+    """
+    hearing = [one for one in candidates if one.machines_heard > 0]
+    if not hearing:
+        return None
+    most = max(one.machines_heard for one in hearing)
+    close = [one for one in hearing if 2 * one.machines_heard >= most]
+    return min(close, key=lambda one: (one.machines_owned + machines, -one.machines_heard, one.host))
--- /dev/null
+++ b/badgerroute/connectivity/modes.py
@@ -0,0 +1,110 @@
+"""The modes of a controller by what it can reach, and what it may do in each.
+
+`PERMISSIONS` is the only place that says so. It narrows what docs/safety.md allows and never widens it: the grace
+period and the lease still bound every action that they bounded before.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Mode(Enum):
+    """What a controller can reach."""
+
+    SERVING = "serving"  # state service and workers
+    RECOVERING = "recovering"  # both again, but not for long enough yet
+    OUTAGE = "outage"  # no state service, as for every sibling that is heard
+    UNRECORDED = "unrecorded"  # no state service, while a sibling has it or none is heard
+    UNHEARD = "unheard"  # state service, but no workers
+    ISOLATED = "isolated"  # neither
+
+
+class Action(Enum):
+    """What a controller does on behalf of the service."""
+
+    ANSWER_REPORT = "answer_report"
+    START = "start"
+    STOP = "stop"
+    ACCEPT = "accept"
+    CANCEL = "cancel"
+    ANSWER_POLL = "answer_poll"
+    STEAL = "steal"
+    GIVE_WORK = "give_work"
+    MOVE_SHARE = "move_share"  # of a team's limit, from or to a part
+    ADD_MEMBER = "add_member"
+    CLEAN_UP = "clean_up"  # of records that concern no part
+    LEND_MACHINES = "lend_machines"
+    RENT = "rent"
+    RETURN_IDLE = "return_idle"
+    GIVE_UP_MACHINE = "give_up_machine"  # have a machine deleted because it is silent
+    DELETE = "delete"  # at the cloud, whatever the reason
+    CLAIM = "claim"
+    HAND_OVER = "hand_over"
+    RECEIVE_PART = "receive_part"
+
+
+class Permission(Enum):
+    """Whether an action is allowed, and until when."""
+
+    ALLOWED = "allowed"
+    WITHIN_GRACE = "within_grace"  # until the last proof of our claims is G old
+    WHILE_CERTAIN = "while_certain"  # until our lease may have ended since the last proof
+    RELUCTANT = "reluctant"  # after those had the chance who reach more
+    FROM_MEMORY = "from_memory"  # only as far as nothing has to be read
+    REFUSED = "refused"
+
+
+_ALLOWED, _GRACE, _CERTAIN = Permission.ALLOWED, Permission.WITHIN_GRACE, Permission.WHILE_CERTAIN
+_RELUCTANT, _MEMORY, _REFUSED = Permission.RELUCTANT, Permission.FROM_MEMORY, Permission.REFUSED
+_MODES = (Mode.SERVING, Mode.RECOVERING, Mode.OUTAGE, Mode.UNRECORDED, Mode.UNHEARD, Mode.ISOLATED)
+_ROWS = {
+    #                        serving   recovering  outage    unrecorded unheard    isolated
+    Action.ANSWER_REPORT: (_GRACE, _GRACE, _GRACE, _GRACE, _GRACE, _GRACE),
+    Action.START: (_GRACE, _GRACE, _GRACE, _REFUSED, _GRACE, _REFUSED),
+    Action.STOP: (_GRACE, _GRACE, _GRACE, _GRACE, _GRACE, _GRACE),
+    Action.ACCEPT: (_ALLOWED, _ALLOWED, _REFUSED, _REFUSED, _ALLOWED, _REFUSED),
+    Action.CANCEL: (_ALLOWED, _ALLOWED, _REFUSED, _REFUSED, _ALLOWED, _REFUSED),
+    Action.ANSWER_POLL: (_ALLOWED, _ALLOWED, _MEMORY, _MEMORY, _ALLOWED, _MEMORY),
+    Action.STEAL: (_GRACE, _GRACE, _REFUSED, _REFUSED, _REFUSED, _REFUSED),
+    Action.GIVE_WORK: (_GRACE, _GRACE, _REFUSED, _REFUSED, _GRACE, _REFUSED),
+    Action.MOVE_SHARE: (_GRACE, _GRACE, _REFUSED, _REFUSED, _GRACE, _REFUSED),
+    Action.ADD_MEMBER: (_GRACE, _GRACE, _REFUSED, _REFUSED, _GRACE, _REFUSED),
+    Action.CLEAN_UP: (_GRACE, _GRACE, _REFUSED, _REFUSED, _GRACE, _REFUSED),
+    Action.LEND_MACHINES: (_GRACE, _GRACE, _REFUSED, _REFUSED, _REFUSED, _REFUSED),
+    Action.RENT: (_GRACE, _GRACE, _GRACE, _REFUSED, _GRACE, _REFUSED),
+    Action.RETURN_IDLE: (_GRACE, _GRACE, _GRACE, _REFUSED, _REFUSED, _REFUSED),
+    Action.GIVE_UP_MACHINE: (_ALLOWED, _ALLOWED, _ALLOWED, _REFUSED, _REFUSED, _REFUSED),
+    Action.DELETE: (_CERTAIN, _CERTAIN, _CERTAIN, _CERTAIN, _CERTAIN, _CERTAIN),
+    Action.CLAIM: (_ALLOWED, _ALLOWED, _ALLOWED, _REFUSED, _RELUCTANT, _REFUSED),
+    Action.HAND_OVER: (_ALLOWED, _ALLOWED, _REFUSED, _REFUSED, _ALLOWED, _REFUSED),
+    Action.RECEIVE_PART: (_ALLOWED, _REFUSED, _REFUSED, _REFUSED, _REFUSED, _REFUSED),
+}
+PERMISSIONS: dict[Mode, dict[Action, Permission]] = {
+    mode: {action: row[column] for action, row in _ROWS.items()} for column, mode in enumerate(_MODES)
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Reachable:
+    """What a controller can reach at a moment."""
+
+    state_service: bool
+    workers: bool
+    siblings: bool  # one at least is heard, or there are none
+    recorded_sibling: bool  # one that is heard reaches the state service
+
+    @property
+    def alone(self) -> bool:
+        """Whether the state service is missing here and, as far as can be known, not everywhere."""
+        return not self.state_service and (self.recorded_sibling or not self.siblings)
+
+
+def mode_of(reachable: Reachable, settled: bool) -> Mode:
+    """The mode that follows; `settled`: the links have been good for long enough."""
+    if not reachable.state_service:
+        if not reachable.alone:
+            return Mode.OUTAGE
+        return Mode.UNRECORDED if reachable.workers else Mode.ISOLATED
+    if not reachable.workers:
+        return Mode.UNHEARD
+    return Mode.SERVING if settled else Mode.RECOVERING
--- /dev/null
+++ b/badgerroute/connectivity/relay_routes.py
@@ -0,0 +1,103 @@
+"""At a controller that does not own a machine: whether to send its report on to the owner, or the machine there.
+
+A machine that comes back soon after it was told to report to its owner can't reach it. Its reports are relayed from
+then on. Now and then it is told once more, with a pause that doubles, to find out whether the cut is over.
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+BOUNCED_WITHIN = timedelta(seconds=9)  # a worker gives a node up after 4 s, and tries the next 1 s later
+FIRST_TRIAL = timedelta(seconds=10)
+LONGEST_TRIAL = timedelta(seconds=80)
+FORGOTTEN = timedelta(seconds=120)
+RETURN_SPREAD = timedelta(seconds=4)  # over which machines go back to an owner that hears its workers again
+SPREAD_BUCKETS = 16
+NEVER = timedelta(0)
+
+
+class Route(Enum):
+    """What happens to a report of a machine that is not ours."""
+
+    REDIRECT = "redirect"
+    RELAY = "relay"
+
+
+@dataclass(slots=True)
+class _MachineRoute:
+    owner: str
+    asked: timedelta  # when the machine reported here last
+    relayed: bool
+    next_trial: timedelta
+    redirected: timedelta | None = None
+    bounced: timedelta = NEVER
+    pause: timedelta = FIRST_TRIAL
+
+
+class RelayRoutes:
+    """The routes of all machines that report here and are not ours; one small entry for each."""
+
+    def __init__(self) -> None:
+        self._routes: dict[str, _MachineRoute] = {}
+        self._swept = NEVER
+        self._unheard: set[str] = set()  # owners that lacked their workers when last looked at
+        self._heard_again: dict[str, timedelta] = {}
+
+    def __len__(self) -> int:
+        return len(self._routes)
+
+    def decide(self, machine: str, owner: str, unheard: bool, busy: bool, now: timedelta) -> Route:
+        """What to do with a report. `unheard`: its owner says that it lacks its workers; `busy`: it names tasks.
+
+        The first report of a busy machine is relayed: if it can't reach its owner, to find that out may take it more
+        than is left of its lease.
+        """
+        self._sweep(now)
+        self._note_owner(owner, unheard, now)
+        route = self._routes.get(machine)
+        if route is None or route.owner != owner:
+            route = self._routes[machine] = _MachineRoute(owner, now, relayed=busy, next_trial=now)
+            if busy:
+                return Route.RELAY
+        route.asked = now
+        if route.redirected is not None:
+            self._came_back(route, now)
+        if unheard or not self._may_try(route, machine, now):
+            route.relayed = True
+            return Route.RELAY
+        route.redirected = now
+        return Route.REDIRECT
+
+    def _note_owner(self, owner: str, unheard: bool, now: timedelta) -> None:
+        if unheard:
+            self._unheard.add(owner)
+        elif owner in self._unheard:
+            self._unheard.discard(owner)
+            self._heard_again[owner] = now
+
+    @staticmethod
+    def _came_back(route: _MachineRoute, now: timedelta) -> None:
+        """A machine is here again that was told to report to its owner: soon after that, it can't reach the owner."""
+        if route.redirected is not None and now - route.redirected < BOUNCED_WITHIN:
+            if route.bounced != NEVER:
+                route.pause = min(LONGEST_TRIAL, 2 * route.pause)
+            route.bounced = now
+            route.next_trial = now + route.pause
+            route.relayed = True
+        route.redirected = None
+
+    def _may_try(self, route: _MachineRoute, machine: str, now: timedelta) -> bool:
+        """Whether a machine may be told to go to its owner: a few at a time once the owner hears workers again."""
+        if not route.relayed:
+            return True
+        heard_again = self._heard_again.get(route.owner, NEVER)
+        if route.bounced >= heard_again:
+            return now >= route.next_trial
+        bucket = sum(machine.encode()) % SPREAD_BUCKETS
+        return now - heard_again >= RETURN_SPREAD * bucket / SPREAD_BUCKETS
+
+    def _sweep(self, now: timedelta) -> None:
+        if now - self._swept >= FORGOTTEN:
+            self._swept = now
+            self._routes = {name: route for name, route in self._routes.items() if now - route.asked < FORGOTTEN}
--- a/badgerroute/connectivity/worker_silence.py
+++ b/badgerroute/connectivity/worker_silence.py
@@ -10,14 +10,21 @@
 REPORT_DELAY = timedelta(seconds=1)  # for the way of a report
 
 
-def overdue(machine: Machine, part: PartView, report: timedelta, now: timedelta) -> bool:
-    """Whether a report of a member should have come by now."""
-    heard = machine.heard or max(machine.joined, part.claimed_at)
+def overdue(machine: Machine, part: PartView, report: timedelta, awake_since: timedelta, now: timedelta) -> bool:
+    """Whether a report of a member should have come here by now, if it did not come through a sibling.
+
+    `awake_since`: the end of our own last standstill, before which nothing could be heard.
+    """
+    if machine.relayed:
+        return True
+    heard = max(machine.heard or max(machine.joined, part.claimed_at), awake_since)
     return now - heard > report * REPORT_SLACK + REPORT_DELAY
 
 
-def silent(part: PartView, report: timedelta, now: timedelta) -> int:
+def silent(part: PartView, report: timedelta, awake_since: timedelta, now: timedelta) -> int:
     """How many machines' reports are overdue, if they are half of all or more; those known to be lost don't count."""
-    expected = [machine for machine in part.machines.values() if machine.alive or not machine.fenced]
-    late = sum(overdue(machine, part, report, now) for machine in expected)
+    # One that was fenced by a direct command has not reported yet, and is not lost for that: a cut that began right
+    # after a takeover once went unnoticed, and a lease later all tasks of the part were gone (docs/incidents.md).
+    expected = [machine for machine in part.machines.values() if machine.alive or machine.lost_at is None]
+    late = sum(overdue(machine, part, report, awake_since, now) for machine in expected)
     return late if len(expected) >= MIN_MACHINES and 2 * late >= len(expected) else 0
--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from badgerroute.connectivity.modes import Action, Permission
 from badgerroute.coordination.fleet.catalog import MachineCatalog
 from badgerroute.coordination.fleet.idle_machines import IdleMachines
 from badgerroute.coordination.fleet.rentals import Fleet
@@ -14,10 +15,12 @@
 from badgerroute.coordination.jobs.job_writer import JobWriter
 from badgerroute.coordination.jobs.pipelines import Pipelines
 from badgerroute.coordination.jobs.record_paging import RecordPager
+from badgerroute.coordination.membership.connectivity_monitor import ConnectivityMonitor
+from badgerroute.coordination.membership.forwarding import FIRST_NUMBERS, RequestForwarder
 from badgerroute.coordination.membership.mesh import Mesh
 from badgerroute.coordination.membership.part_hand_over import PartHandOver
-from badgerroute.coordination.membership.reachability import WorkerReachability
 from badgerroute.coordination.membership.siblings import Siblings
+from badgerroute.coordination.ownership.action_gate import ActionGate
 from badgerroute.coordination.ownership.claims import Claim, Claims
 from badgerroute.coordination.parts.forecast import JobForecast
 from badgerroute.coordination.parts.owner import Owner
@@ -26,6 +29,8 @@
 from badgerroute.coordination.quotas.team_quotas import TeamQuotas
 from badgerroute.coordination.requests.http_api import HttpApi
 from badgerroute.coordination.requests.part_requests import PartRequests
+from badgerroute.coordination.requests.report_desk import ReportDesk
+from badgerroute.coordination.requests.user_desk import UserDesk
 from badgerroute.coordination.requests.users import Users
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.protocol.state import Condition
@@ -65,10 +70,8 @@
         self.cloud = CloudClient(loop, network, settings.platform.endpoints.cloud, params.cloud, params.size)
         self.replica = Replica(loop, self.state)
         self.mesh = Mesh(settings, loop, network, group, self._on_message)
-        self.reachability = WorkerReachability(
-            loop, network, self.replica, random.Random(settings.platform.host_name).sample
-        )
-        self.claims = Claims(settings, loop, self.state, self.replica, self._won, self._lost, self._reluctant)
+        self.claims = Claims(settings, loop, self.state, self.replica, self._won, self._lost, self._claim_permission)
+        self.permits = ActionGate(self.claims, lambda: self.monitor.mode)
         hosts = [one.host_name for one in settings.platform.siblings]
         self.cancellation_broadcast = CancellationBroadcast(
             loop, settings.platform.host_name, hosts, self.mesh.send, params.workers.cancel
@@ -77,8 +80,29 @@
         self.catalog = self.machine_catalog.types
         self.owners: dict[int, Owner] = {}
         self.siblings = Siblings(settings, loop, self.claims, self.owners)
-        self.requests = PartRequests(loop, group, self.claims, self.siblings, self.mesh, self.owners)
-        self.hand_over = PartHandOver(settings, loop, self.claims, self.siblings, self.reachability, self.owners)
+        self.monitor = ConnectivityMonitor(
+            settings,
+            loop,
+            network,
+            self.replica,
+            self.claims,
+            self.siblings,
+            self.owners,
+            random.Random(settings.platform.host_name).sample,
+        )
+        self.forwarder = RequestForwarder(
+            loop,
+            group,
+            settings.platform.host_name,
+            settings.operator.connectivity.relays_at_once,
+            random.SystemRandom().randrange(FIRST_NUMBERS),
+            self.mesh.send,
+            lambda request, relay: self.api.handle_forwarded(request, relay),
+        )
+        self.requests = PartRequests(loop, group, self.claims, self.permits, self.siblings, self.mesh, self.owners)
+        self.hand_over = PartHandOver(
+            settings, loop, self.claims, self.permits, self.siblings, self.monitor, self.owners
+        )
         self.job_store = JobStore(self.replica, self._push, self._notify_owners, self.cancellation_broadcast.learned)
         self.job_reader = JobReader(loop, self.state, self.replica, self.job_store)
         self.pager = RecordPager(self.state, self.replica, self.job_store, self.catalog)
@@ -91,7 +115,7 @@
             self.job_store,
             self.job_reader,
             lambda part: part in self.claims.parts,
-            lambda: self.claims.fleet is not None and self.claims.fresh(),
+            lambda: self.claims.fleet is not None and self.permits.allows(Action.CLEAN_UP),
             settings.home,
         )
         self.fleet = Fleet(
@@ -100,6 +124,7 @@
             group,
             self.cloud,
             self.claims,
+            self.permits,
             self.replica,
             self.catalog,
             self.siblings.summaries,
@@ -112,7 +137,7 @@
             loop, self.owners, self.job_store, self.job_writer, self.forecast, self._condition
         )
         self.idle_machines = IdleMachines(
-            settings, loop, self.claims, self.job_store, self.catalog, self.owners, self.fleet.delete
+            settings, loop, self.permits, self.job_store, self.catalog, self.owners, self.fleet.delete
         )
         self.users = Users(
             params,
@@ -126,21 +151,26 @@
             self.siblings.running,
         )
         self._deleted: dict[str, None] = {}  # machines that were deleted, oldest first
-        api = HttpApi(
+        self.report_desk = ReportDesk(
             settings,
+            loop,
             self.replica,
-            self.claims,
+            self.permits,
             self.owners,
             self.siblings,
-            self.users,
             self.mesh,
-            self.reachability,
+            self.monitor,
+            self.forwarder,
             lambda name: name in self._deleted,
         )
+        user_desk = UserDesk(settings, self.permits, self.state, self.siblings, self.users, self.forwarder)
+        self.api = HttpApi(self.replica, self.monitor, self.report_desk, user_desk)
         sockets = params.resources.fd_limit
         direct = min(max(MAX_DIRECT_COMMANDS, sockets // SOCKETS_PER_DIRECT_COMMAND), max(4, sockets // 8))
         self._gate = Gate(direct)
-        self._server = Server(loop, group, api.handle, max(16, sockets - direct - RESERVED_SOCKETS - 8 * params.size))
+        self._server = Server(
+            loop, group, self.api.handle, max(16, sockets - direct - RESERVED_SOCKETS - 8 * params.size)
+        )
         self._services = Services(
             settings=settings,
             loop=loop,
@@ -150,6 +180,8 @@
             state=self.state,
             replica=self.replica,
             claims=self.claims,
+            permits=self.permits,
+            awake_since=self.monitor.awake_since,
             job_store=self.job_store,
             job_reader=self.job_reader,
             pager=self.pager,
@@ -189,7 +221,8 @@
             (self.fleet.rent_duty, "rent"),
             (self.fleet.delete_duty, "delete"),
             (self.idle_machines.run, "idle"),
-            (self.reachability.probe, "probe"),
+            (self.monitor.run, "connectivity"),
+            (self.monitor.probe, "probe"),
             (self.pipelines.resolve, "resolve"),
             (self.pipelines.withdraw, "withdraw"),
             (self.pipelines.tidy, "tidy"),
@@ -265,9 +298,12 @@
             self.settings.platform.host_name,
             self.claims.lease or 0,
             bool(self.catalog) and self.replica.ready.done,
-            self.siblings.proved(),
-            self.reachability.isolated,
+            self.monitor.reaches_state_service(),
+            not self.permits.allows(Action.RECEIVE_PART),
             parts,
+            self.monitor.mode.value,
+            list(self.siblings.heard()),
+            self.settings.operator.connectivity.relay,
         )
 
     async def _forecast_duty(self) -> None:
@@ -292,8 +328,8 @@
         deadline = self._loop.now() + self.settings.operator.scheduling.round
         return lambda: self._loop.now() > deadline
 
-    def _reluctant(self) -> bool:
-        return self.reachability.isolated
+    def _claim_permission(self) -> Permission:
+        return self.permits.permission(Action.CLAIM)
 
     # -- mesh
 
@@ -314,6 +350,10 @@
                 self.requests.lend(message)
             case mesh_wire.MisdirectedReport():
                 self._group.spawn(self.hand_over.on_misdirected_report(message), "misdirected")
+            case mesh_wire.ForwardedRequest():
+                self.forwarder.on_request(message)
+            case mesh_wire.ForwardedResponse():
+                self.forwarder.on_response(message)
             case mesh_wire.CancellationNotice():
                 self._on_withdrawn(message)
             case mesh_wire.CancellationAck():
--- a/badgerroute/coordination/fleet/idle_machines.py
+++ b/badgerroute/coordination/fleet/idle_machines.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from badgerroute.connectivity.modes import Action
 from badgerroute.coordination.jobs.job_store import JobStore
-from badgerroute.coordination.ownership.claims import Claims
+from badgerroute.coordination.ownership.action_gate import ActionGate
 from badgerroute.coordination.parts.owner import Owner
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.scheduling.model import Machine
@@ -25,13 +26,13 @@
         self,
         settings: Settings,
         loop: Loop,
-        claims: Claims,
+        permits: ActionGate,
         job_store: JobStore,
         catalog: dict[str, MachineType],
         owners: dict[int, Owner],
         delete: Callable[[list[str]], None],
     ) -> None:
-        self._settings, self._loop, self._claims, self._job_store = settings, loop, claims, job_store
+        self._settings, self._loop, self._permits, self._job_store = settings, loop, permits, job_store
         self._catalog, self._owners, self._delete = catalog, owners, delete
 
     async def run(self) -> None:
@@ -44,7 +45,7 @@
             if not self._job_store.active:
                 idle /= NO_JOBS
             for owner in list(self._owners.values()):
-                if owner.ready and owner.part.settled and self._claims.acting(owner.number):
+                if owner.ready and owner.part.settled and self._permits.allows_for(owner.number, Action.RETURN_IDLE):
                     self._return(owner, idle)
 
     def _return(self, owner: Owner, idle: timedelta) -> None:
--- a/badgerroute/coordination/fleet/rentals.py
+++ b/badgerroute/coordination/fleet/rentals.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from badgerroute.connectivity.modes import Action
+from badgerroute.coordination.ownership.action_gate import ActionGate
 from badgerroute.coordination.ownership.claims import Claims
 from badgerroute.protocol.cloud import ListedMachine, MachineType
 from badgerroute.protocol.mesh import PartSummary
@@ -60,6 +62,7 @@
         group: Group,
         cloud: CloudClient,
         claims: Claims,
+        permits: ActionGate,
         replica: Replica,
         catalog: dict[str, MachineType],
         summaries: Callable[[], list[PartSummary]],
@@ -67,6 +70,7 @@
     ) -> None:
         self._settings, self._loop, self._group, self._cloud = settings, loop, group, cloud
         self._claims, self._replica, self._catalog = claims, replica, catalog
+        self._permits = permits
         self._summaries, self._deleted = summaries, deleted
         self._counter = 0
         self._refused: dict[RentalPlace, tuple[timedelta, timedelta]] = {}  # not before, pause
@@ -103,7 +107,7 @@
                 del self._to_delete[name]
             names = list(self._to_delete)[:MAX_MACHINES_PER_DELETION]
             # A controller that stood still, or was cut off, once deleted machines that a new owner used by then.
-            if not names or not self._claims.certain():
+            if not names or not self._permits.allows(Action.DELETE):
                 continue
             try:
                 await self._cloud.delete(names)
@@ -123,7 +127,7 @@
         """Rent what is needed, while this controller holds the fleet claim."""
         while True:
             await self._loop.sleep(ROUND)
-            if self._claims.fleet is None or not self._claims.fresh() or not self._catalog:
+            if self._claims.fleet is None or not self._permits.allows(Action.RENT) or not self._catalog:
                 self._list_at = None
                 continue
             try:
--- /dev/null
+++ b/badgerroute/coordination/membership/connectivity_monitor.py
@@ -0,0 +1,135 @@
+"""Gathers what this controller reaches, keeps its mode, and finds out when workers can be reached again."""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from badgerroute.connectivity.damping import FlapDamping
+from badgerroute.connectivity.links import STATE_SERVICE, Link
+from badgerroute.connectivity.mode_machine import ModeMachine
+from badgerroute.connectivity.modes import Mode, Reachable
+from badgerroute.connectivity.standstill import StandstillDetector
+from badgerroute.connectivity.worker_link import WorkerLink
+from badgerroute.coordination.membership.siblings import Siblings
+from badgerroute.coordination.ownership.claims import NEVER, Claims
+from badgerroute.coordination.parts.owner import Owner
+from badgerroute.settings import Settings
+from badgerroute.storage import records
+from badgerroute.storage.records import MachineRecord
+from badgerroute.storage.replica import MACHINES, Replica
+from badgerroute.transport.http import Client, NoAnswerError
+from badgerroute.transport.loop import Loop
+from badgerroute.transport.net import Network
+
+log = logging.getLogger("badgerroute.connectivity")
+TICK = timedelta(milliseconds=250)
+PROBE_PERIOD = timedelta(seconds=2)
+PROBED_MACHINES = 3
+PROBE_LIMIT = timedelta(seconds=1)
+
+
+class ConnectivityMonitor:
+    """`sample` draws some of a list, for the machines to probe."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        loop: Loop,
+        network: Network,
+        replica: Replica,
+        claims: Claims,
+        siblings: Siblings,
+        owners: dict[int, Owner],
+        sample: Callable[[list[str], int], list[str]],
+    ) -> None:
+        self._loop, self._network, self._replica, self._claims = loop, network, replica, claims
+        self._siblings, self._owners, self._sample = siblings, owners, sample
+        self._has_siblings = settings.params.size > 1
+        self._host = settings.platform.host_name
+        connectivity = settings.operator.connectivity
+        self._damping = FlapDamping(connectivity.settle, connectivity.longest_settle, connectivity.penalty_half_life)
+        self._machine = ModeMachine(self._damping)
+        self._standstill = StandstillDetector(TICK, loop.now())
+        self._state_link = Link(STATE_SERVICE, loop.now())
+        self.worker_link = WorkerLink()
+
+    @property
+    def mode(self) -> Mode:
+        """What this controller reaches."""
+        return self._machine.mode
+
+    def awake_since(self) -> timedelta:
+        """The end of this process's last standstill, or its start."""
+        return self._standstill.awake_since
+
+    def reaches_state_service(self) -> bool:
+        """Whether the state service has answered a renewal and a watch lately."""
+        proved = self._claims.proved
+        if proved > NEVER:
+            self._state_link.heard(proved)
+        return not self._state_link.suspected(self._loop.now())
+
+    def alone(self) -> bool:
+        """Whether users are served better elsewhere: only this controller lacks the state service."""
+        return self._reachable().alone
+
+    async def run(self) -> None:
+        """Judge the links a few times a second."""
+        while True:
+            await self._loop.sleep(TICK)
+            self.update()
+
+    def update(self) -> None:
+        """Judge the links now."""
+        now = self._loop.now()
+        standstill = self._standstill.turn(now)
+        if standstill:
+            log.info("event=stood_still host=%s seconds=%.1f", self._host, standstill.total_seconds())
+            for link in (self._state_link, *self._siblings.links.values()):
+                link.excuse(standstill, now)
+        self.worker_link.update({owner.number: owner.silent() for owner in self._owners.values() if owner.ready}, now)
+        change = self._machine.update(self._reachable(), now)
+        if change is not None:
+            log.info(
+                "event=mode_changed host=%s from=%s to=%s cause=%s settle=%.1f",
+                self._host,
+                change.before.value,
+                change.after.value,
+                change.cause,
+                self._damping.delay(now).total_seconds(),
+            )
+
+    def _reachable(self) -> Reachable:
+        heard = self._siblings.heard().values()
+        return Reachable(
+            state_service=self.reaches_state_service(),
+            workers=not self.worker_link.lost,
+            siblings=bool(heard) or not self._has_siblings,
+            recorded_sibling=any(sibling.gossip.proved for sibling in heard),
+        )
+
+    async def probe(self) -> None:
+        """Find out when workers can be reached again: they have no reason to report to us by themselves."""
+        while True:
+            await self._loop.sleep(PROBE_PERIOD)
+            now = self._loop.now()
+            if self.worker_link.lost and self.worker_link.lost_for(now) >= self._damping.extra(now):
+                await self._probe_some()
+
+    async def _probe_some(self) -> None:
+        members = self._replica.under(MACHINES)
+        for key in self._sample(members, min(PROBED_MACHINES, len(members))):
+            value = self._replica.value(key)
+            if value is not None and await self._answers(records.read(value, MachineRecord).address):
+                log.info("event=workers_reached again=%s", key.removeprefix(MACHINES))
+                self.worker_link.reached(self._loop.now())
+                return
+
+    async def _answers(self, address: str) -> bool:
+        client = Client(self._loop, self._network, address, most_idle=1, connect=PROBE_LIMIT)
+        try:
+            return (await client.request("GET", "/status", b"", PROBE_LIMIT)).status == 200
+        except NoAnswerError:
+            return False
+        finally:
+            client.drop()
--- a/badgerroute/coordination/membership/part_hand_over.py
+++ b/badgerroute/coordination/membership/part_hand_over.py
@@ -1,10 +1,13 @@
-"""When a part is handed to another controller: to the one whose home it is, or to the one that its workers reach."""
+"""When a part is handed to another controller: to the one whose home it is, or to one that its workers reach."""
 
 import logging
 from datetime import timedelta
 
-from badgerroute.coordination.membership.reachability import WorkerReachability
-from badgerroute.coordination.membership.siblings import Siblings
+from badgerroute.connectivity.hand_over_choice import Candidate, choose_receiver
+from badgerroute.connectivity.modes import Action
+from badgerroute.coordination.membership.connectivity_monitor import ConnectivityMonitor
+from badgerroute.coordination.membership.siblings import Sibling, Siblings
+from badgerroute.coordination.ownership.action_gate import ActionGate
 from badgerroute.coordination.ownership.claims import Claims
 from badgerroute.coordination.parts.owner import Owner
 from badgerroute.protocol.mesh import MisdirectedReport
@@ -23,40 +26,82 @@
         settings: Settings,
         loop: Loop,
         claims: Claims,
+        permits: ActionGate,
         siblings: Siblings,
-        reachability: WorkerReachability,
+        monitor: ConnectivityMonitor,
         owners: dict[int, Owner],
     ) -> None:
-        self._settings, self._loop, self._claims = settings, loop, claims
-        self._siblings, self._reachability, self._owners = siblings, reachability, owners
+        self._settings, self._loop, self._claims, self._permits = settings, loop, claims, permits
+        self._siblings, self._monitor, self._owners = siblings, monitor, owners
+        self._worker_link = monitor.worker_link
+        self._relay_for = settings.operator.connectivity.relay_for
 
     async def run(self) -> None:
-        """A part goes back to its home controller once that one is there again."""
+        """Hand over one part a round: first what its workers can't report here, else what has its home elsewhere."""
         while True:
             await self._loop.sleep(ROUND)
-            for part in list(self._claims.parts):
-                await self._send_home(part)
+            if self._permits.allows(Action.HAND_OVER) and not await self._hand_unheard():
+                await self._send_home()
 
-    async def _send_home(self, part: int) -> None:
+    # -- parts whose home controller is there again
+
+    async def _send_home(self) -> None:
+        for part in list(self._claims.parts):
+            host = self._home(part)
+            sibling = self._siblings.get(host)
+            owner = self._owners.get(part)
+            # A sibling that has lost the state service still names the lease it once had. Its part was handed to it
+            # again and again, each time given up first and claimed anew, and stood still for as long as the cut.
+            if sibling is not None and sibling.fit() and owner is not None and owner.part.settled:
+                await self._claims.hand_over(part, host, sibling.gossip.lease)
+                return
+
+    def _home(self, part: int) -> str:
         hosts = self._settings.hosts
-        home = hosts[part] if part < len(hosts) else ""
-        sibling = self._siblings.get(home)
-        if part == self._settings.home or sibling is None:
-            return
-        owner = self._owners.get(part)
-        # A sibling that has lost the state service still names the lease it once had. Its part was handed to it
-        # again and again, each time given up first and claimed anew, and stood still for as long as the cut.
-        if sibling.fit() and owner is not None and owner.part.settled:
-            await self._claims.hand_over(part, home, sibling.gossip.lease)
+        return hosts[part] if part < len(hosts) else ""
+
+    # -- parts whose workers don't reach us
 
     async def on_misdirected_report(self, misdirected: MisdirectedReport) -> None:
-        """Our workers report to a sibling: if they don't reach us, it is to own them."""
+        """A machine of ours reported to a sibling that did not relay the report: if many do, the part goes there."""
         owner = self._owners.get(misdirected.part)
         if owner is None or not owner.ready or not owner.missed(misdirected.machine):
             return  # new machines report anywhere; they say nothing of us
-        many = self._reachability.note_misdirected(misdirected, owner.silent())
-        sibling = self._siblings.get(misdirected.host)
-        if many and sibling is not None and sibling.fit():
-            log.warning("event=workers_unheard part=%d to=%s", misdirected.part, misdirected.host)
-            self._reachability.part_given_up(misdirected.part)
-            await self._claims.hand_over(misdirected.part, misdirected.host, sibling.gossip.lease)
+        self._worker_link.note_elsewhere(
+            misdirected.part, misdirected.machine, misdirected.host, self._loop.now(), relayed=False
+        )
+        self._monitor.update()
+        if self._permits.allows(Action.HAND_OVER):
+            await self._hand_unheard()
+
+    async def _hand_unheard(self) -> bool:
+        """Hand a part over that relaying does not serve, or has served for long enough; whether there was one."""
+        now = self._loop.now()
+        long_enough = self._worker_link.lost_for(now) >= self._relay_for
+        for owner in list(self._owners.values()):
+            silent = owner.silent() if owner.ready else 0
+            relayed = None if long_enough else False
+            if not self._worker_link.lost or not self._worker_link.missing(owner.number, silent, now, relayed):
+                continue
+            receiver = self._receiver(owner, now)
+            if receiver is not None:
+                await self._hand(owner, receiver)
+                return True
+        return False
+
+    def _receiver(self, owner: Owner, now: timedelta) -> Sibling | None:
+        fit = {host: sibling for host, sibling in self._siblings.heard().items() if sibling.fit()}
+        hosts = self._worker_link.hosts(owner.number, now)
+        candidates = [
+            Candidate(host, heard, sum(part.machines for part in fit[host].gossip.parts))
+            for host, heard in hosts.items()
+            if host in fit
+        ]
+        chosen = choose_receiver(candidates, len(owner.part.machines))
+        return None if chosen is None else fit[chosen.host]
+
+    async def _hand(self, owner: Owner, receiver: Sibling) -> None:
+        host = receiver.gossip.host
+        log.warning("event=workers_unheard part=%d to=%s", owner.number, host)
+        self._worker_link.part_given_up(owner.number)
+        await self._claims.hand_over(owner.number, host, receiver.gossip.lease)
--- a/badgerroute/coordination/membership/siblings.py
+++ b/badgerroute/coordination/membership/siblings.py
@@ -1,30 +1,39 @@
 """What is known of the other controllers, and with them of all parts."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
+from msgspec import UNSET
+
+from badgerroute.connectivity.links import SIBLING, Link
+from badgerroute.connectivity.modes import Mode
 from badgerroute.coordination.ownership.claims import Claims
 from badgerroute.coordination.parts.owner import Owner
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.settings import Settings
 from badgerroute.transport.loop import Loop
 
-STALE = timedelta(seconds=3)
-SIBLING_SILENT_AFTER = timedelta(seconds=8)  # one without a claim that is silent for so long uses nothing
-UP_PROOF = timedelta(seconds=3)
-
 
 @dataclass(slots=True)
 class Sibling:
-    """What another controller said last, and when it was heard."""
+    """Another controller: the link to it, and what it said last."""
 
+    link: Link
     gossip: mesh_wire.Gossip
-    heard: timedelta
+    mode: Mode | None = field(init=False)  # None: it is of a version that doesn't say
+
+    def __post_init__(self) -> None:
+        names = {mode.value: mode for mode in Mode}
+        self.mode = names.get(self.gossip.mode) if isinstance(self.gossip.mode, str) else None
 
     def fit(self) -> bool:
         """Whether a part may be given to it."""
-        told = self.gossip
-        return told.ready and told.proved and told.lease > 0 and not told.isolated
+        gossip = self.gossip
+        return gossip.ready and gossip.proved and gossip.lease > 0 and not gossip.isolated
+
+    def takes_forwarded(self, host: str) -> bool:
+        """Whether it answers requests that this host passes on."""
+        return self.gossip.relays is True and (self.gossip.hears is UNSET or host in self.gossip.hears)
 
 
 class Siblings:
@@ -32,39 +41,30 @@
 
     def __init__(self, settings: Settings, loop: Loop, claims: Claims, owners: dict[int, Owner]) -> None:
         self._settings, self._loop, self._claims, self._owners = settings, loop, claims, owners
-        self._began = loop.now()
+        hosts = [sibling.host_name for sibling in settings.platform.siblings]
+        self.links = {host: Link(SIBLING, loop.now()) for host in hosts}
         self._known: dict[str, Sibling] = {}
 
     def hear(self, gossip: mesh_wire.Gossip) -> None:
         """Take in what another controller says."""
-        self._known[gossip.host] = Sibling(gossip, self._loop.now())
+        link = self.links.get(gossip.host)
+        if link is not None:
+            link.heard(self._loop.now())
+            self._known[gossip.host] = Sibling(link, gossip)
 
     def get(self, host: str) -> Sibling | None:
-        """A controller that was heard within the last seconds."""
+        """A controller that is heard."""
         sibling = self._known.get(host)
-        return sibling if sibling is not None and self._loop.now() - sibling.heard < STALE else None
+        return sibling if sibling is not None and not sibling.link.suspected(self._loop.now()) else None
 
-    def recent(self) -> list[Sibling]:
-        """All that were heard within the last seconds."""
-        return [sibling for host in self._known if (sibling := self.get(host)) is not None]
-
-    def proved(self) -> bool:
-        """Whether the state service has answered ourselves within the last seconds."""
-        return self._loop.now() - self._claims.proved < UP_PROOF
-
-    def cut_off(self) -> bool:
-        """Whether the state service does not answer us, while it does a sibling, or none is heard."""
-        if self.proved():
-            return False
-        recent = self.recent()
-        if not recent:
-            return self._settings.params.size > 1
-        return any(sibling.gossip.proved for sibling in recent)
+    def heard(self) -> dict[str, Sibling]:
+        """All controllers that are heard, by host."""
+        return {host: sibling for host in self._known if (sibling := self.get(host)) is not None}
 
     def summaries(self) -> list[mesh_wire.PartSummary]:
         """Of all parts that are known of: our own as they are, the others' as last heard."""
         summaries = {owner.number: owner.summary() for owner in self._owners.values() if owner.ready}
-        for sibling in self.recent():
+        for sibling in self.heard().values():
             for summary in sibling.gossip.parts:
                 summaries.setdefault(summary.part, summary)
         return list(summaries.values())
@@ -72,22 +72,28 @@
     def last_heard_parts(self) -> list[tuple[mesh_wire.PartSummary, timedelta]]:
         """The other controllers' parts as they were told last, and how long ago that was."""
         now = self._loop.now()
-        return [(part, now - sibling.heard) for sibling in self._known.values() for part in sibling.gossip.parts]
+        return [(part, sibling.link.silence(now)) for sibling in self._known.values() for part in sibling.gossip.parts]
+
+    def owner(self, part: int) -> str | None:
+        """The host that holds a part: by the claim as it is known here, or by a sibling that names a higher term.
+
+        A controller that has lost the state service learns only from the siblings who came after it.
+        """
+        host, term = self._claims.owner(part), self._claims.known_term(part)
+        for name, sibling in self.heard().items():
+            for summary in sibling.gossip.parts:
+                if summary.part == part and summary.term > term:
+                    host, term = name, summary.term
+        return host
 
     def in_use(self) -> int:
         """How many controllers may be using the state service: this one, and all that are heard or hold a claim.
 
         Right after the start nobody has been heard yet, so none is counted out then.
         """
-        if self._loop.now() - self._began < SIBLING_SILENT_AFTER:
-            return self._settings.params.size
+        now = self._loop.now()
         claimed = {self._claims.owner(part) for part in range(self._settings.params.size)}
-        hosts = [one.host_name for one in self._settings.platform.siblings]
-        return 1 + sum(host in claimed or self._heard_lately(host) for host in hosts)
-
-    def _heard_lately(self, host: str) -> bool:
-        sibling = self._known.get(host)
-        return sibling is not None and self._loop.now() - sibling.heard < SIBLING_SILENT_AFTER
+        return 1 + sum(host in claimed or not link.gone(now) for host, link in self.links.items())
 
     def running(self, ref: str) -> int:
         """How many of a job's tasks run, for display."""
@@ -99,7 +105,7 @@
         )
         there = sum(
             summary.running.get(ref, 0)
-            for sibling in self.recent()
+            for sibling in self.heard().values()
             for summary in sibling.gossip.parts
             if summary.part not in self._owners
         )
--- /dev/null
+++ b/badgerroute/coordination/ownership/action_gate.py
@@ -0,0 +1,32 @@
+"""The one place that says whether an action may be taken now: by the mode, and by the last proof of our claims."""
+
+from collections.abc import Callable
+
+from badgerroute.connectivity.modes import PERMISSIONS, Action, Mode, Permission
+from badgerroute.coordination.ownership.claims import Claims
+
+
+class ActionGate:
+    """Asked in the step that acts, after everything that may wait."""
+
+    def __init__(self, claims: Claims, mode: Callable[[], Mode]) -> None:
+        self._claims, self._mode = claims, mode
+
+    def permission(self, action: Action) -> Permission:
+        """What the table of modes says."""
+        return PERMISSIONS[self._mode()][action]
+
+    def allows(self, action: Action) -> bool:
+        """Whether the action may be taken, as far as it concerns no part in particular."""
+        match self.permission(action):
+            case Permission.ALLOWED | Permission.RELUCTANT:
+                return True
+            case Permission.WITHIN_GRACE:
+                return self._claims.fresh()
+            case Permission.WHILE_CERTAIN:
+                return self._claims.certain()
+        return False
+
+    def allows_for(self, part: int, action: Action) -> bool:
+        """Whether the action may be taken for a part, which must be ours."""
+        return part in self._claims.parts and self.allows(action)
--- a/badgerroute/coordination/ownership/claims.py
+++ b/badgerroute/coordination/ownership/claims.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from badgerroute.connectivity.modes import Permission
 from badgerroute.protocol.state import Condition
 from badgerroute.settings import Settings
 from badgerroute.storage import records
@@ -51,10 +52,11 @@
         replica: Replica,
         won: Callable[[int, Claim], None],
         lost: Callable[[int], None],
-        reluctant: Callable[[], bool] = lambda: False,
+        permission: Callable[[], Permission] = lambda: Permission.ALLOWED,
     ) -> None:
         self._settings, self._loop, self._state, self._replica = settings, loop, state, replica
-        self._won, self._lost, self._reluctant = won, lost, reluctant
+        self._won, self._lost = won, lost
+        self._permission = permission  # to claim parts
         self._freed = Future()  # a part has no owner any more
         self._me = settings.platform.host_name
         self._grace = settings.grace  # asked for with every report
@@ -109,6 +111,10 @@
         """Whether this controller holds a part and may act for it now."""
         return part in self.parts and self.fresh()
 
+    def known_term(self, part: int) -> int:
+        """The term of the last claim to a part that is known here; 0 if there is none."""
+        return self._replica.revision_of(self.key(part))
+
     def owner(self, part: int) -> str | None:
         """The host that holds a part, as far as is known here."""
         value = self._replica.value(self.key(part))
@@ -123,7 +129,8 @@
         while True:
             try:
                 await self._keep_lease()
-                await self._claim_all()
+                if self._permission() is not Permission.REFUSED:
+                    await self._claim_all()
             except (StateUnavailableError, OutcomeUnknownError) as error:
                 log.info("event=claims_delayed error=%s", error)
                 await self._loop.sleep(RETRY)
@@ -189,7 +196,7 @@
 
     def _reluctance(self) -> timedelta:
         """One that no worker reaches leaves a free part to others, if there are any."""
-        return RELUCTANCE if self._reluctant() else ZERO
+        return RELUCTANCE if self._permission() is Permission.RELUCTANT else ZERO
 
     async def _claim(self, part: int) -> None:
         value = self._replica.value(self.key(part))
--- a/badgerroute/coordination/parts/fencing.py
+++ b/badgerroute/coordination/parts/fencing.py
@@ -3,6 +3,7 @@
 import logging
 from datetime import timedelta
 
+from badgerroute.connectivity.modes import Action
 from badgerroute.coordination.parts.machine_commands import MachineCommands
 from badgerroute.coordination.parts.services import Services
 from badgerroute.scheduling.model import Machine
@@ -20,7 +21,7 @@
 
     def __init__(self, part: Part, services: Services, group: Group, commands: MachineCommands) -> None:
         self._part, self._group, self._commands = part, group, commands
-        self._loop, self._delete = services.loop, services.delete_machines
+        self._loop, self._delete, self._permits = services.loop, services.delete_machines, services.permits
         self._fencing: set[str] = set()
         self._asked: dict[str, timedelta] = {}  # when the first command to a machine left
         self._given_up: set[str] = set()
@@ -37,8 +38,7 @@
             while self._part.machines.get(machine.name) is machine and (not machine.fenced or machine.unreachable):
                 # A command may wait seconds for its turn where there are thousands: that is no silence of the machine.
                 if not await self._commands.send(machine, [], leaves=lambda: self._note_asked(machine)):
-                    if self._loop.now() - self._asked[machine.name] > self._patience():
-                        self._give_up(machine)
+                    self._give_up_if_silent(machine)
                     await self._loop.sleep(FENCE_RETRY)
         finally:
             self._asked.pop(machine.name, None)
@@ -48,6 +48,14 @@
     def _note_asked(self, machine: Machine) -> None:
         self._asked.setdefault(machine.name, self._loop.now())
 
+    def _give_up_if_silent(self, machine: Machine) -> None:
+        if not self._permits.allows(Action.GIVE_UP_MACHINE):
+            # An owner that its workers don't reach learns nothing of a machine by its silence. What it was silent for
+            # until now doesn't count later either.
+            self._asked[machine.name] = self._loop.now()
+        elif self._loop.now() - self._asked[machine.name] > self._patience():
+            self._give_up(machine)
+
     def _give_up(self, machine: Machine) -> None:
         if machine.name not in self._given_up:
             self._given_up.add(machine.name)
--- a/badgerroute/coordination/parts/machine_loans.py
+++ b/badgerroute/coordination/parts/machine_loans.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from badgerroute.connectivity.modes import Action
 from badgerroute.coordination.parts.services import Services
 from badgerroute.protocol.mesh import MachineLoanRequest
 from badgerroute.protocol.state import Put
@@ -32,11 +33,12 @@
     def __init__(self, part: Part, services: Services, group: Group, active: Callable[[], bool]) -> None:
         self._part, self._loop, self._group, self._active = part, services.loop, group, active
         self._state, self._replica, self._claims = services.state, services.replica, services.claims
+        self._permits = services.permits
         self._publish = services.publish
 
     def _acting(self) -> bool:
         """An owner that has ended must give nothing away, even if this controller holds the part again."""
-        return self._active() and self._claims.acting(self._part.number)
+        return self._active() and self._permits.allows_for(self._part.number, Action.LEND_MACHINES)
 
     async def lend(self, message: MachineLoanRequest) -> None:
         """Give empty machines to a part that is too small for a gang, in one conditional write.
--- a/badgerroute/coordination/parts/migration.py
+++ b/badgerroute/coordination/parts/migration.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from badgerroute.connectivity.modes import Action
 from badgerroute.coordination.parts.services import Services
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.protocol.state import Condition, Put
@@ -65,6 +66,7 @@
         self.number, self.part, self.planner = part.number, part, planner
         self._loop, self._group = services.loop, group
         self._state, self._replica, self._claims = services.state, services.replica, services.claims
+        self._permits = services.permits
         self._job_store, self._job_reader, self._pager = services.job_store, services.job_reader, services.pager
         self._publish, self._ask_machines = services.publish, services.ask_machines
         self._active, self._changed = active, changed
@@ -104,7 +106,7 @@
 
     def _acting(self) -> bool:
         """An owner that has ended must give nothing away, even if this controller holds the part again."""
-        return self._active() and self._claims.acting(self.number)
+        return self._active() and self._permits.allows_for(self.number, Action.GIVE_WORK)
 
     async def pass_on_gangs(self, summaries: list[mesh_wire.PartSummary]) -> None:
         """Give gangs for which there is no room here to a part that has some, or could make some."""
--- a/badgerroute/coordination/parts/owner.py
+++ b/badgerroute/coordination/parts/owner.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from badgerroute.connectivity import worker_silence
+from badgerroute.connectivity.modes import Action
 from badgerroute.coordination.jobs.job_writer import Progress
 from badgerroute.coordination.ownership.claims import Claim
 from badgerroute.coordination.parts import summary
@@ -48,6 +49,7 @@
         self.number = number
         self._settings, self._loop, self._replica = services.settings, services.loop, services.replica
         self._claims, self._job_store, self._catalog = services.claims, services.job_store, services.catalog
+        self._permits, self._awake_since = services.permits, services.awake_since
         self._progressed, self._delete = services.progressed, services.delete_machines
         params = self._settings.params
         self.group = Group(self._loop, f"{services.group.name}/part-{number}")
@@ -147,8 +149,11 @@
 
     # -- reports
 
-    async def checkin(self, report: Report) -> ReportAnswer | None:
-        """Answer a report. None: can't act on it now, the worker should try elsewhere or again."""
+    async def checkin(self, report: Report, relayed: bool = False) -> ReportAnswer | None:
+        """Answer a report. None: can't act on it now, the worker should try elsewhere or again.
+
+        `relayed`: it came through a sibling, which hands our answer to the worker.
+        """
         machine = self.part.machines.get(report.machine)
         if machine is None:
             machine = await self._register(report)
@@ -158,7 +163,8 @@
             return None
         if report.token > self.part.term:
             return None  # it would drop the answer, and stay here while its lease runs out
-        if not self._claims.acting(self.number) or self.part.machines.get(report.machine) is not machine:
+        acting = self._permits.allows_for(self.number, Action.ANSWER_REPORT)
+        if not acting or self.part.machines.get(report.machine) is not machine:
             return None
         if machine.unreachable or self._fencing.given_up(machine):
             # Each answer of ours would put off the time from which on it is certainly rid of its tasks.
@@ -166,7 +172,10 @@
             return None
         fresh = self.apply_report(machine, report, checkin=True)
         now = self._loop.now()
+        starts = fresh and self._permits.allows_for(self.number, Action.START)
         if fresh:
+            machine.relayed = relayed
+        if starts:
             deadline = now + self._settings.operator.scheduling.round
 
             def over() -> bool:
@@ -175,14 +184,14 @@
             # Gangs first, and now: placed in the next round of their own, they would wait for one more report.
             self.planner.gangs_on(machine, now, over)
             self.planner.fill(machine, now, over)
-        commands = self.part.commands(machine, now, starts=fresh) if fresh else []
+        commands = self.part.commands(machine, now, starts=starts) if fresh else []
         machine.answered = now
         if not machine.fenced or machine.unreachable:
             self._fencing.fence(machine)
         return ReportAnswer(self.part.term, commands)
 
     async def _register(self, report: Report) -> Machine | None:
-        if report.type not in self._catalog or not self._claims.acting(self.number):
+        if report.type not in self._catalog or not self._permits.allows_for(self.number, Action.ADD_MEMBER):
             return None
         record = MachineRecord(self.number, report.address, report.type, report.zone, report.spot)
         written = self.member_registry.add(report.machine, record)
@@ -225,7 +234,7 @@
     async def _rounds(self) -> None:
         while True:
             await self._loop.sleep(ROUND)
-            if not self._claims.acting(self.number):
+            if not self._permits.allows_for(self.number, Action.STOP):
                 continue
             now = self._loop.now()
             deadline = now + self._settings.operator.scheduling.round
@@ -238,12 +247,14 @@
             self.part.expire_reservations(now)
             self.part.settle()
             self.planner.release_holds(now)
-            self.planner.gangs(now, over)
-            if not over():
-                self.planner.make_room_for_arrays(now, over)
+            if self._permits.allows_for(self.number, Action.START):
+                self.planner.gangs(now, over)
+                if not over():
+                    self.planner.make_room_for_arrays(now, over)
             self.planner.feedback(now)
             await self._urgent_halts()
-            await self.shares.seek()
+            if self._permits.allows_for(self.number, Action.MOVE_SHARE):
+                await self.shares.seek()
 
     async def _log_state(self) -> None:
         """Where the part stands, for people on call."""
@@ -277,7 +288,7 @@
         }
         patience = LOST_PATIENCE if 3 * len(silent) <= len(self.part.machines) + 3 else 5 * LOST_PATIENCE
         names = [name for name, lost_at in silent.items() if now - lost_at > patience]
-        if names:
+        if names and self._permits.allows_for(self.number, Action.GIVE_UP_MACHINE):
             self._delete(names)
 
     def _notices(self, now: timedelta) -> None:
@@ -331,11 +342,12 @@
         """Whether a machine is a member whose report should have come by now."""
         machine = self.part.machines.get(name)
         report, now = self._settings.params.workers.report, self._loop.now()
-        return machine is not None and worker_silence.overdue(machine, self.part, report, now)
+        return machine is not None and worker_silence.overdue(machine, self.part, report, self._awake_since(), now)
 
     def silent(self) -> int:
         """How many machines' reports are overdue, if they are half of all or more."""
-        return worker_silence.silent(self.part, self._settings.params.workers.report, self._loop.now())
+        report, awake_since = self._settings.params.workers.report, self._awake_since()
+        return worker_silence.silent(self.part, report, awake_since, self._loop.now())
 
     # -- progress
 
--- a/badgerroute/coordination/parts/services.py
+++ b/badgerroute/coordination/parts/services.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 
 from badgerroute.coordination.jobs.job_reader import JobReader
 from badgerroute.coordination.jobs.job_store import JobStore, Publish
 from badgerroute.coordination.jobs.record_paging import RecordPager
+from badgerroute.coordination.ownership.action_gate import ActionGate
 from badgerroute.coordination.ownership.claims import Claims
 from badgerroute.coordination.quotas.team_quotas import TeamQuotas
 from badgerroute.protocol.cloud import MachineType
@@ -30,6 +32,8 @@
     state: StateClient
     replica: Replica
     claims: Claims
+    permits: ActionGate
+    awake_since: Callable[[], timedelta]  # the end of this process's last standstill
     job_store: JobStore
     job_reader: JobReader
     pager: RecordPager
--- a/badgerroute/coordination/parts/share_exchange.py
+++ b/badgerroute/coordination/parts/share_exchange.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from badgerroute.connectivity.modes import Action
 from badgerroute.coordination.parts.services import Services
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.scheduling.model import ZERO, Room
@@ -28,7 +29,7 @@
 
     def __init__(self, part: Part, planner: Planner, services: Services) -> None:
         self._part, self._planner = part, planner
-        self._loop, self._claims, self._quotas = services.loop, services.claims, services.quotas
+        self._loop, self._permits, self._quotas = services.loop, services.permits, services.quotas
         self._ask: Callable[[mesh_wire.ShareRequest], None] = services.ask_share
 
     async def seek(self) -> None:
@@ -59,7 +60,7 @@
     async def give(self, message: mesh_wire.ShareRequest) -> None:
         """Another part lacks a share: give what we neither use nor can use soon, or what it has the better use for."""
         team = message.team
-        if not self._part.settled or not self._claims.acting(self._part.number):
+        if not self._part.settled or not self._permits.allows_for(self._part.number, Action.MOVE_SHARE):
             return
         cpus, gpus = self._quotas.of(self._part.number, team)
         used = self._part.usage[team]
--- a/badgerroute/coordination/requests/part_requests.py
+++ b/badgerroute/coordination/requests/part_requests.py
@@ -5,8 +5,10 @@
 
 from datetime import timedelta
 
+from badgerroute.connectivity.modes import Action
 from badgerroute.coordination.membership.mesh import Mesh
 from badgerroute.coordination.membership.siblings import Siblings
+from badgerroute.coordination.ownership.action_gate import ActionGate
 from badgerroute.coordination.ownership.claims import Claims
 from badgerroute.coordination.parts.owner import Owner
 from badgerroute.protocol.mesh import FreeCapacity, MachineLoanRequest, PartSummary, ShareRequest, StealRequest
@@ -20,9 +22,16 @@
     """Sends the requests of our parts, and has those that reach us carried out."""
 
     def __init__(
-        self, loop: Loop, group: Group, claims: Claims, siblings: Siblings, mesh: Mesh, owners: dict[int, Owner]
+        self,
+        loop: Loop,
+        group: Group,
+        claims: Claims,
+        permits: ActionGate,
+        siblings: Siblings,
+        mesh: Mesh,
+        owners: dict[int, Owner],
     ) -> None:
-        self._loop, self._group, self._claims = loop, group, claims
+        self._loop, self._group, self._claims, self._permits = loop, group, claims, permits
         self._siblings, self._mesh, self._owners = siblings, mesh, owners
 
     async def steal_duty(self) -> None:
@@ -30,8 +39,11 @@
         while True:
             await self._loop.sleep(STEAL_ROUND)
             for owner in list(self._owners.values()):
-                if owner.ready and owner.part.settled and self._claims.acting(owner.number):
+                if not owner.ready or not owner.part.settled:
+                    continue
+                if self._permits.allows_for(owner.number, Action.GIVE_WORK):
                     await owner.migration.pass_on_gangs(self._siblings.summaries())
+                if self._permits.allows_for(owner.number, Action.STEAL):
                     self._steal_for(owner)
 
     def _steal_for(self, owner: Owner) -> None:
--- /dev/null
+++ b/badgerroute/coordination/requests/report_desk.py
@@ -0,0 +1,129 @@
+"""Reports of workers: answered for machines of our parts, relayed or redirected for those of others."""
+
+import zlib
+from collections.abc import Callable
+from datetime import timedelta
+
+from badgerroute.connectivity.modes import Action, Mode
+from badgerroute.connectivity.relay_routes import RelayRoutes, Route
+from badgerroute.coordination.membership.connectivity_monitor import ConnectivityMonitor
+from badgerroute.coordination.membership.forwarding import RequestForwarder
+from badgerroute.coordination.membership.mesh import Mesh
+from badgerroute.coordination.membership.siblings import Sibling, Siblings
+from badgerroute.coordination.ownership.action_gate import ActionGate
+from badgerroute.coordination.parts.owner import Owner
+from badgerroute.coordination.requests.responses import answer, come_back, error
+from badgerroute.protocol.common import MalformedError
+from badgerroute.protocol.mesh import MisdirectedReport
+from badgerroute.protocol.workers import Redirect, Report, parse_report
+from badgerroute.settings import Settings
+from badgerroute.storage import records
+from badgerroute.storage.replica import MACHINES, Replica
+from badgerroute.transport.http import Request, Response
+from badgerroute.transport.loop import Loop
+
+ANSWERED = 200
+RELAY_LIMIT = timedelta(milliseconds=1500)  # a worker waits 4 s for its answer, and drops what comes later
+
+
+class ReportDesk:
+    """`is_deleted` tells of machines whose reports can only be late copies."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        loop: Loop,
+        replica: Replica,
+        permits: ActionGate,
+        owners: dict[int, Owner],
+        siblings: Siblings,
+        mesh: Mesh,
+        monitor: ConnectivityMonitor,
+        forwarder: RequestForwarder,
+        is_deleted: Callable[[str], bool],
+    ) -> None:
+        self._settings, self._loop, self._replica, self._permits = settings, loop, replica, permits
+        self._owners, self._siblings, self._mesh = owners, siblings, mesh
+        self._monitor, self._worker_link, self._forwarder = monitor, monitor.worker_link, forwarder
+        self._is_deleted = is_deleted
+        self._host = settings.platform.host_name
+        self._relays = settings.operator.connectivity.relay
+        self.routes = RelayRoutes()
+        self.relayed = 0  # reports whose answer came from their owner
+
+    async def checkin(self, request: Request, relay: str | None = None) -> Response:
+        """Answer a report; `relay`: the sibling that passed it on."""
+        try:
+            report = parse_report(request.body)
+        except MalformedError as problem:
+            return error(400, str(problem))
+        if relay is None and not self._owners:
+            self._worker_link.reached(self._loop.now())
+        if self._is_deleted(report.machine):
+            return come_back("this machine was deleted")  # a late copy, whatever it says
+        part = self._part_of(report.machine)
+        owner = self._owners.get(part)
+        if owner is not None:
+            return await self._answer(owner, report, relay)
+        if relay is not None:
+            return come_back("not the owner")  # what was passed on once is not passed on again
+        return await self._not_ours(request, report, part)
+
+    async def _answer(self, owner: Owner, report: Report, relay: str | None) -> Response:
+        if not owner.ready or not self._permits.allows_for(owner.number, Action.ANSWER_REPORT):
+            return come_back("not acting for this machine now")
+        if relay is not None and owner.missed(report.machine):
+            self._worker_link.note_elsewhere(owner.number, report.machine, relay, self._loop.now(), relayed=True)
+        result = await owner.checkin(report, relay is not None)
+        return come_back("can't act on this report now") if result is None else answer(200, result)
+
+    async def _not_ours(self, request: Request, report: Report, part: int) -> Response:
+        host = self._siblings.owner(part)
+        if host is None or host == self._host:
+            return answer(421, Redirect())
+        sibling = self._siblings.get(host)
+        lacks_workers = self._lacks_workers(sibling, part)
+        relayed = await self._relay(request, report, sibling, lacks_workers)
+        if relayed is not None:
+            return relayed
+        if lacks_workers:
+            # Sent back there, it would wait in vain once more, and by then its lease is over.
+            self._mesh.send(host, MisdirectedReport(part, report.machine, self._host))
+            return come_back("its owner does not hear its workers")
+        return answer(421, Redirect(host))
+
+    async def _relay(
+        self, request: Request, report: Report, sibling: Sibling | None, lacks_workers: bool
+    ) -> Response | None:
+        """The owner's own answer to a report that can't reach it; None if the report is not to be relayed, or in vain.
+
+        The owner decides, in its own term. Its answer reaches the worker as the answer to this very report, within the
+        time that the worker waits, or not at all: docs/safety.md.
+        """
+        if not self._relays or sibling is None or not sibling.takes_forwarded(self._host):
+            return None
+        host, busy = sibling.gossip.host, bool(report.tasks)
+        route = self.routes.decide(report.machine, host, lacks_workers, busy, self._loop.now())
+        if route is not Route.RELAY:
+            return None
+        response = await self._forwarder.forward(host, request, RELAY_LIMIT)
+        if response is None or response.status != ANSWERED:
+            return None
+        self.relayed += 1
+        return response
+
+    def _lacks_workers(self, sibling: Sibling | None, part: int) -> bool:
+        """Whether machines would go to their owner in vain. One that hears workers again says so by its mode."""
+        mode = None if sibling is None else sibling.mode
+        if mode in (Mode.UNHEARD, Mode.RECOVERING):
+            return mode is Mode.UNHEARD
+        return any(summary.part == part and summary.silent for summary in self._siblings.summaries())
+
+    def _part_of(self, name: str) -> int:
+        value = self._replica.value(MACHINES + name)
+        if value is not None:
+            return records.read(value, records.MachineRecord).part
+        # Not a member yet: names in a row go to different parts, so each gets its mix of types and zones.
+        digits = name[len(name.rstrip("0123456789")) :]
+        number = int(digits) if digits else zlib.crc32(name.encode())
+        return number % self._settings.params.size
--- /dev/null
+++ b/badgerroute/coordination/requests/user_desk.py
@@ -0,0 +1,93 @@
+"""Requests of users: answered here as far as the state service is reached, else by a sibling that reaches it."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from badgerroute.connectivity.modes import Action, Permission
+from badgerroute.coordination.membership.forwarding import RequestForwarder
+from badgerroute.coordination.membership.siblings import Siblings
+from badgerroute.coordination.ownership.action_gate import ActionGate
+from badgerroute.coordination.requests.responses import come_back, error
+from badgerroute.coordination.requests.users import Users
+from badgerroute.settings import Settings
+from badgerroute.storage.state import StateClient
+from badgerroute.transport.http import Request, Response
+
+JOBS_PATH = "/v1/jobs"
+UNAVAILABLE = 503
+FORWARD_LIMIT = timedelta(milliseconds=1200)  # a poll waits for 2 s
+
+
+@dataclass(frozen=True, slots=True)
+class Operation:
+    """The method that a path takes, and what it asks for."""
+
+    method: str
+    action: Action
+
+
+class UserDesk:
+    """What was passed on by a sibling is answered here or nowhere."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        permits: ActionGate,
+        state: StateClient,
+        siblings: Siblings,
+        users: Users,
+        forwarder: RequestForwarder,
+    ) -> None:
+        self._permits, self._state, self._siblings = permits, state, siblings
+        self._users, self._forwarder = users, forwarder
+        self._host = settings.platform.host_name
+        self._forwards = settings.operator.connectivity.relay
+
+    async def handle(self, request: Request, relay: str | None = None) -> Response:
+        """Answer a submission, a poll or a cancellation; `relay`: the sibling that passed it on."""
+        ref, _, verb = request.path.removeprefix(JOBS_PATH).strip("/").partition("/")
+        operation = self._operation(ref, verb)
+        if request.method != operation.method:
+            return error(405, "method not allowed")
+        action = operation.action
+        permission = self._permits.permission(action)
+        if permission is Permission.ALLOWED:
+            response = await self._answer(request, ref, action)
+            if response.status == UNAVAILABLE and self._state.troubled() and relay is None:
+                return await self._forward(request) or response
+            return response
+        if permission is Permission.FROM_MEMORY:
+            known = self._users.poll_from_memory(ref)
+            if known is not None:
+                return known
+        forwarded = await self._forward(request) if relay is None else None
+        return forwarded or come_back("the state service can't be reached")
+
+    @staticmethod
+    def _operation(ref: str, verb: str) -> Operation:
+        if not ref:
+            return Operation("POST", Action.ACCEPT)
+        return Operation("POST", Action.CANCEL) if verb else Operation("GET", Action.ANSWER_POLL)
+
+    async def _answer(self, request: Request, ref: str, action: Action) -> Response:
+        match action:
+            case Action.ACCEPT:
+                return await self._users.submit(request)
+            case Action.CANCEL:
+                return await self._users.cancel(ref)
+        return await self._users.poll(ref)
+
+    async def _forward(self, request: Request) -> Response | None:
+        """The answer of a sibling that reaches the state service; None if there is none, or it can't decide either."""
+        if not self._forwards:
+            return None
+        able = [
+            sibling
+            for sibling in self._siblings.heard().values()
+            if sibling.gossip.ready and sibling.gossip.proved and sibling.takes_forwarded(self._host)
+        ]
+        if not able:
+            return None
+        target = min(able, key=lambda sibling: (sibling.gossip.isolated, len(sibling.gossip.parts)))
+        response = await self._forwarder.forward(target.gossip.host, request, FORWARD_LIMIT)
+        return response if response is not None and response.status != UNAVAILABLE else None
--- a/badgerroute/coordination/requests/users.py
+++ b/badgerroute/coordination/requests/users.py
@@ -7,9 +7,10 @@
 from badgerroute.coordination.jobs.job_store import JobStore
 from badgerroute.coordination.jobs.job_writer import JobWriter
 from badgerroute.coordination.jobs.record_paging import RecordPager, RecordTooLargeError
+from badgerroute.coordination.requests.responses import answer, come_back, error
 from badgerroute.coordination.requests.split import split
 from badgerroute.protocol.cloud import MachineType
-from badgerroute.protocol.common import MalformedError, encode
+from badgerroute.protocol.common import MalformedError
 from badgerroute.protocol.mesh import PartSummary
 from badgerroute.protocol.users import REF, Submission, parse_submission
 from badgerroute.scheduling.model import Room, capacity_of, need_of
@@ -22,21 +23,6 @@
 log = logging.getLogger("badgerroute.users")
 
 
-def answer(status: int, message: object, headers: dict[str, str] | None = None) -> Response:
-    """A response with a JSON body."""
-    return Response(status, encode(message), headers or {})
-
-
-def error(status: int, text: str) -> Response:
-    """A response that says what is wrong."""
-    return answer(status, {"error": text})
-
-
-def come_back(text: str, status: int = 503) -> Response:
-    """A response to what can't be decided now."""
-    return answer(status, {"error": text}, {"Retry-After": "1"})
-
-
 class Users:
     """`running` tells how many tasks of a job run, for display."""
 
@@ -153,6 +139,13 @@
             return come_back("the state service can't be reached")
         return error(404, "no such job") if found is None else self._state_answer(200, ref, found)
 
+    def poll_from_memory(self, ref: str) -> Response | None:
+        """Answer a question that needs no reading: a final state that is known here. None: it does need that."""
+        if not REF.match(ref):
+            return error(404, "no such job")
+        final = self._job_store.final(ref)
+        return None if final is None else self._state_answer(200, ref, JobLookup(final))
+
     async def cancel(self, ref: str) -> Response:
         """Answer a cancellation."""
         if not REF.match(ref):
--- a/badgerroute/protocol/mesh.py
+++ b/badgerroute/protocol/mesh.py
@@ -79,8 +79,11 @@
     lease: int
     ready: bool
     proved: bool  # the state service answered it within the last seconds
-    isolated: bool = field(name="deaf")  # it knows that no worker reaches it
+    isolated: bool = field(name="deaf")  # it wants no part: workers don't reach it, or links have just come back
     parts: list[PartSummary]
+    mode: str | UnsetType = UNSET  # of `connectivity.modes`; older versions leave out this and what follows
+    hears: list[str] | UnsetType = UNSET  # the controllers that it hears
+    relays: bool | UnsetType = UNSET  # it passes requests on, and takes those that are passed on
 
 
 class Push(Struct, tag="push"):
@@ -129,6 +132,25 @@
     host: str
 
 
+class ForwardedRequest(Struct, tag="forward"):
+    """A request that a controller can't answer itself, passed on to one that can."""
+
+    host: str
+    number: int  # of the sender's forwarded requests
+    method: str
+    path: str
+    body: bytes
+
+
+class ForwardedResponse(Struct, tag="forwarded"):
+    """The answer to a forwarded request."""
+
+    host: str
+    number: int
+    status: int
+    body: bytes
+
+
 class CancellationNotice(Struct, tag="withdrawn"):
     """Jobs that are withdrawn, with the revisions of their final states. Repeated until it is acknowledged."""
 
@@ -152,6 +174,8 @@
     | MisdirectedReport
     | CancellationNotice
     | CancellationAck
+    | ForwardedRequest
+    | ForwardedResponse
 )
 encoder = msgspec.msgpack.Encoder()
 decoder = msgspec.msgpack.Decoder(Message)
--- a/badgerroute/rebalancing/service.py
+++ b/badgerroute/rebalancing/service.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from badgerroute.connectivity.modes import Action
 from badgerroute.coordination.controller import Controller
 from badgerroute.coordination.parts.owner import Owner
 from badgerroute.protocol.mesh import StealRequest
@@ -123,7 +124,13 @@
         for number, owner in owners.items():
             if owner.ready and number not in self._duties:
                 self._duties[number] = self._new_duty(number, owner)
-        return [duty for number, duty in self._duties.items() if self._controller.claims.acting(number)]
+        permits = self._controller.permits
+        return [duty for number, duty in self._duties.items() if permits.allows_for(number, Action.START)]
+
+    def _may_ask(self, owner: Owner) -> bool:
+        """Whether a part may ask others for work."""
+        permits = self._controller.permits if self._controller is not None else None
+        return owner.part.settled and permits is not None and permits.allows_for(owner.number, Action.STEAL)
 
     def _new_duty(self, number: int, owner: Owner) -> _PartDuty:
         guidance = self._guidances[number]
@@ -165,7 +172,7 @@
         for duty in self._duties.values():
             own = duty.owner.summary()
             others = [summary for summary in self.view.summaries if summary.part != own.part and summary.settled]
-            if not duty.owner.part.settled or not others or not self._controller.claims.acting(own.part):
+            if not others or not self._may_ask(duty.owner):
                 continue
             for request in work_lacking(own, others, teams):
                 message = StealRequest(
@@ -226,5 +233,5 @@
         assert self._controller is not None and self._drains is not None
         while True:
             await self._loop.sleep(ORPHANS_LOOKED_FOR)
-            if self._controller.claims.fleet is not None and self._controller.claims.fresh():
+            if self._controller.claims.fleet is not None and self._controller.permits.allows(Action.CLEAN_UP):
                 await self._drains.remove_orphans()
--- a/badgerroute/settings/loading.py
+++ b/badgerroute/settings/loading.py
@@ -70,6 +70,9 @@
 
 
 def _check_operator(operator: OperatorSettings, source: str) -> None:
+    connectivity = operator.connectivity
+    if connectivity.longest_settle_s < connectivity.settle_s:
+        raise SettingsError(f"{source}: connectivity.longest_settle_s: must not be below settle_s")
     rebalancing = operator.rebalancing
     if rebalancing is None:
         return
--- a/badgerroute/settings/operator.py
+++ b/badgerroute/settings/operator.py
@@ -88,6 +88,37 @@
         return timedelta(seconds=self.move_rest_s)
 
 
+class Connectivity(Struct, frozen=True, forbid_unknown_fields=True):
+    """What controllers do for one another while one reaches only a part of the rest. See docs/connectivity.md."""
+
+    relay: bool = False
+    relay_s: Annotated[float, Meta(ge=0, le=3600)] = 45.0
+    relays_at_once: Annotated[int, Meta(ge=1, le=100_000)] = 4096
+    settle_s: Annotated[float, Meta(ge=0, le=600)] = 8.0
+    longest_settle_s: Annotated[float, Meta(ge=0, le=3600)] = 60.0
+    penalty_half_life_s: Annotated[float, Meta(ge=1, le=3600)] = 30.0
+
+    @property
+    def relay_for(self) -> timedelta:
+        """How long reports are relayed before the parts are handed over."""
+        return timedelta(seconds=self.relay_s)
+
+    @property
+    def settle(self) -> timedelta:
+        """How long links must be good before parts come back."""
+        return timedelta(seconds=self.settle_s)
+
+    @property
+    def longest_settle(self) -> timedelta:
+        """The same for links that flap."""
+        return timedelta(seconds=self.longest_settle_s)
+
+    @property
+    def penalty_half_life(self) -> timedelta:
+        """In which the penalty for flapping halves."""
+        return timedelta(seconds=self.penalty_half_life_s)
+
+
 class OperatorSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """The operators' own settings file."""
 
@@ -96,3 +127,4 @@
     scheduling: Scheduling = Scheduling()
     fleet: Fleet = Fleet()
     claims: Claims = Claims()
+    connectivity: Connectivity = Connectivity()
--- a/badgerroute/storage/state.py
+++ b/badgerroute/storage/state.py
@@ -22,6 +22,7 @@
 OVER = 3  # answers of 429 so close together show that the service has lowered its limits
 OVER_WITHIN = timedelta(seconds=5)
 LIST_PAGE = 500
+TROUBLE_KEPT = timedelta(seconds=3)
 CONDITIONS_PER_CHANGE = 4  # that a transaction may have
 SLACK = 0.95  # budgets stay a little below the published limits: clocks differ, and a 429 helps nobody
 
@@ -99,6 +100,7 @@
         )
         self.requests = 0
         self.conflicts = 0
+        self._troubled: timedelta | None = None  # when a request last got no answer, or was refused as in an outage
 
     @staticmethod
     def _rates(limit: float, size: int) -> tuple[float, float]:
@@ -124,6 +126,10 @@
         if len(self._over) >= OVER:
             self._lower("429")
 
+    def troubled(self) -> bool:
+        """Whether a request went unanswered or was refused within the last seconds."""
+        return self._troubled is not None and self._loop.now() - self._troubled < TROUBLE_KEPT
+
     @property
     def max_changes(self) -> int:
         """In one transaction, now and later: nobody says when a lower limit comes."""
@@ -180,9 +186,12 @@
         try:
             response = await (client or self._client).request(method, target, body, limit)
         except NoAnswerError as error:
+            self._troubled = self._loop.now()
             if error.sent:
                 raise OutcomeUnknownError(str(error)) from None
             raise StateUnavailableError(str(error)) from None
+        if response.status == 503:
+            self._troubled = self._loop.now()
         if response.status == 429:
             self._over_limit()
         if response.status in (429, 503):
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -172,6 +172,7 @@
                 self._start(ref, int(index), call["try"], task)
             elif task is not None and task.attempt == call["try"]:
                 if call["call"] == "clear" and task.state == "exited":
+                    self.site.rules.history.cleared(task.name, self.name)
                     del self.tasks[task.name]
                 elif call["call"] == "halt":
                     self._halt(task, call.get("settle_s", 0.0))
@@ -227,7 +228,9 @@
             if now - self.leased > LEASE:
                 for task in self.tasks.values():
                     if task.state != "exited":
+                        self.site.killed_by_lease.append(now)
                         self.site.rules.ended(self, task)
+                self.site.rules.history.wiped(self.name)
                 self.tasks.clear()
                 self.session += 1
                 self.leased = now
@@ -372,6 +375,7 @@
         self.never_boots = 0
         self.boot_factor = 1.0
         self.list_calls = 0
+        self.killed_by_lease: list[timedelta] = []  # when a task was killed as its machine got no answer for too long
         self.tick = timedelta(milliseconds=100)  # how often a worker looks at its tasks and its lease
         self._counter = 0
         server = Server(self.loop, self.group, self._cloud, 100)
@@ -423,6 +427,7 @@
         if worker is not None:
             for task in worker.tasks.values():
                 self.rules.ended(worker, task)
+            self.rules.history.wiped(name)
             worker.group.cancel()
             self.world.crash(name)
 
