--- a/badgerroute/coordination/parts/owner.py
+++ b/badgerroute/coordination/parts/owner.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections import Counter
+from dataclasses import dataclass
 from datetime import timedelta
 
 from badgerroute.connectivity import worker_silence
@@ -42,6 +43,14 @@
 MAX_DIRECT_CANCELLATIONS = 16  # machines that are told of withdrawn jobs in one round; the others hear by their reports
 
 
+@dataclass(frozen=True, slots=True)
+class SilenceReading:
+    """How many machines were silent at a moment."""
+
+    at: timedelta
+    machines: int
+
+
 class Owner:
     """Everything a controller does for one part it owns. Ended by `close` when the claim is lost."""
 
@@ -79,6 +88,7 @@
         self.deleted_machines = DeletedMachines(self.part, services)
         self.progress: set[str] = set()
         self._summary: tuple[timedelta, mesh_wire.PartSummary] | None = None
+        self._silence: SilenceReading | None = None
 
     def start(self) -> None:
         """Begin to take the part over."""
@@ -330,8 +340,7 @@
     def summary(self) -> mesh_wire.PartSummary:
         """What others need to know. Made anew a few times a second at most: it looks at everything there is."""
         now = self._loop.now()
-        kept = max(SUMMARY_KEPT, SUMMARY_KEPT_PER_MACHINE * len(self.part.machines))
-        if self._summary is None or now - self._summary[0] >= kept:
+        if self._summary is None or now - self._summary[0] >= self._kept():
             ahead = rents_ahead(self._settings, self._catalog)
             levels = {self._job_store.level(ref) for ref, record in self._job_store.schedulable() if record.job.gang}
             silent = self.silent() > 0
@@ -345,9 +354,17 @@
         return machine is not None and worker_silence.overdue(machine, self.part, report, self._awake_since(), now)
 
     def silent(self) -> int:
-        """How many machines' reports are overdue, if they are half of all or more."""
-        report, awake_since = self._settings.params.workers.report, self._awake_since()
-        return worker_silence.silent(self.part, report, awake_since, self._loop.now())
+        """How many machines' reports are overdue, if they are half of all or more. As seldom made anew as a summary."""
+        now = self._loop.now()
+        if self._silence is None or now - self._silence.at >= self._kept():
+            report = self._settings.params.workers.report
+            silent = worker_silence.silent(self.part, report, self._awake_since(), now)
+            self._silence = SilenceReading(now, silent)
+        return self._silence.machines
+
+    def _kept(self) -> timedelta:
+        """For how long what was found by looking at every machine is kept."""
+        return max(SUMMARY_KEPT, SUMMARY_KEPT_PER_MACHINE * len(self.part.machines))
 
     # -- progress
 
--- /dev/null
+++ b/tests/standins/proxies.py
@@ -0,0 +1,155 @@
+"""Proxies on loopback: one for each link, of which each direction can be dropped, delayed or refused by itself."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from badgerroute.transport.loop import Future, Loop
+from badgerroute.transport.net import Stream, TcpListener, TcpNetwork, TcpStream
+from tests.standins.loopback import LoopbackDay, LoopbackNetwork, LoopbackWorld
+
+
+class Fault(Enum):
+    """What happens to the packets of one direction of a link."""
+
+    PASS = "pass"
+    DROP = "drop"  # held until the fault is over: nobody is told, as behind a packet filter
+    DELAY = "delay"
+    REFUSE = "refuse"  # connections are reset, and new ones refused
+
+
+@dataclass
+class Direction:
+    """One direction of a link."""
+
+    fault: Fault = Fault.PASS
+    delay: timedelta = timedelta(0)
+    changed: Future = field(default_factory=Future)
+
+    def set(self, fault: Fault, delay: timedelta = timedelta(0)) -> None:
+        self.fault, self.delay = fault, delay
+        changed, self.changed = self.changed, Future()
+        changed.set()
+
+
+class LinkProxy:
+    """The link from one host to one address. Packets pass through it in both directions."""
+
+    def __init__(self, loop: Loop, network: TcpNetwork, target: int) -> None:
+        self._loop, self._network, self._target = loop, network, target
+        self.there, self.back = Direction(), Direction()
+        self.listener: TcpListener = network.listen("127.0.0.1:0")
+        self.port: int = self.listener._sock.getsockname()[1]
+        self._streams: list[TcpStream] = []
+        self._routine = loop.spawn(self._accept(), "proxy")
+
+    def refusing(self) -> bool:
+        return Fault.REFUSE in (self.there.fault, self.back.fault)
+
+    def close(self) -> None:
+        self._routine.cancel()
+        self.reset()
+        self.listener.close()
+
+    def reset(self) -> None:
+        """Close every connection."""
+        for stream in self._streams:
+            stream.close()
+        self._streams.clear()
+
+    async def _accept(self) -> None:
+        while True:
+            near = await self.listener.accept()
+            self._streams.append(near)
+            self._loop.spawn(self._connect(near), "proxy-connect")
+
+    async def _connect(self, near: TcpStream) -> None:
+        await self._passable(self.there)
+        await self._passable(self.back)
+        try:
+            far = await self._network.connect(f"127.0.0.1:{self._target}", timedelta(seconds=1))
+        except OSError:
+            near.close()
+            return
+        self._streams.append(far)
+        self._loop.spawn(self._carry(near, far, self.there), "proxy-there")
+        self._loop.spawn(self._carry(far, near, self.back), "proxy-back")
+
+    @staticmethod
+    async def _passable(direction: Direction) -> None:
+        while direction.fault is Fault.DROP:
+            await direction.changed
+
+    async def _carry(self, source: Stream, target: Stream, direction: Direction) -> None:
+        try:
+            while data := await source.read():
+                if direction.fault is Fault.DELAY:
+                    await self._loop.sleep(direction.delay)
+                await self._passable(direction)
+                await target.write(data)
+        except (OSError, ValueError):
+            pass
+        finally:
+            source.close()
+            target.close()
+
+
+class ProxiedWorld(LoopbackWorld):
+    """Real sockets, with a proxy on every link."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.proxies: dict[tuple[str, str], LinkProxy] = {}  # by the host that connects and the host it connects to
+
+    def network(self, host: str) -> "ProxiedNetwork":
+        return ProxiedNetwork(self, host)
+
+    def proxy(self, source: str, address: str) -> LinkProxy:
+        key = (source, address.partition(":")[0])
+        proxy = self.proxies.get(key)
+        if proxy is None or proxy._target != self.ports[address]:
+            faults = (proxy.there, proxy.back) if proxy is not None else None
+            if proxy is not None:
+                proxy.close()  # its host has been started again
+            proxy = self.proxies[key] = LinkProxy(self.loop, TcpNetwork(self.loop, self.poller), self.ports[address])
+            if faults is not None:
+                proxy.there, proxy.back = faults
+        return proxy
+
+    def set(self, source: str, target: str, fault: Fault, delay: timedelta = timedelta(0)) -> None:
+        """What `source` sends to `target` meets a fault, whichever of the two opened the connection."""
+        for (opener, accepter), proxy in self.proxies.items():
+            if (opener, accepter) in ((source, target), (target, source)):
+                (proxy.there if opener == source else proxy.back).set(fault, delay)
+                if fault is Fault.REFUSE:
+                    proxy.reset()
+
+    def close(self) -> None:
+        for proxy in self.proxies.values():
+            proxy.close()
+        super().close()
+
+
+class ProxiedNetwork(LoopbackNetwork):
+    """The network as one host sees it: all its connections go through proxies."""
+
+    def __init__(self, world: ProxiedWorld, host: str) -> None:
+        super().__init__(world)
+        self._proxied, self._host = world, host
+
+    async def connect(self, address: str, limit: timedelta) -> TcpStream:
+        if address not in self._proxied.ports:
+            raise ConnectionRefusedError("nobody listens there")
+        proxy = self._proxied.proxy(self._host, address)
+        if proxy.refusing():
+            raise ConnectionRefusedError("refused by the proxy")
+        return await TcpNetwork.connect(self, f"127.0.0.1:{proxy.port}", limit)
+
+
+class ProxiedDay(LoopbackDay):
+    """A day on real sockets in real time, with a proxy on every link."""
+
+    def _make_world(self, seed: int) -> None:
+        self.world = ProxiedWorld(seed)
+        self.loop = self.world.loop
+        self.clock = self.loop.clock
--- a/tests/test_connectivity.py
+++ b/tests/test_connectivity.py
@@ -20,6 +20,7 @@
 from badgerroute.coordination.membership.forwarding import RequestForwarder
 from badgerroute.coordination.ownership.action_gate import ActionGate
 from badgerroute.protocol.mesh import ForwardedRequest, ForwardedResponse
+from badgerroute.settings import load_operator
 from badgerroute.transport.clock import VirtualClock
 from badgerroute.transport.http import Request, Response
 from badgerroute.transport.loop import Group, Loop, VirtualPoller
@@ -349,6 +350,15 @@
     assert (receiver.host if receiver else None) == chosen
 
 
+# -- settings
+
+
+def test_the_deploy_files_are_good() -> None:
+    native = load_operator(str(PACKAGE.parent / "deploy" / "connectivity.hcl"))
+    assert native.connectivity.relay
+    assert load_operator(str(PACKAGE.parent / "deploy" / "connectivity.hcl.json")) == native
+
+
 # -- forwarding
 
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -298,6 +298,13 @@
         ('fleet {\n  return_idle = "yes"\n}\n', "fleet.return_idle"),
         ("machines {\n}\n", "machines"),
         ("scheduling {", "HCL"),
+        ("scheduling {\n  tau = 2.0\n}\nconnectivity {\n  relay = true\n  relay_s = 0\n}\n", None),
+        ('connectivity {\n  relay = "yes"\n}\n', "connectivity.relay"),
+        ("connectivity {\n  relay_s = -1\n}\n", "connectivity.relay_s"),
+        ("connectivity {\n  relays_at_once = 0\n}\n", "connectivity.relays_at_once"),
+        ("connectivity {\n  settle_s = 9\n  longest_settle_s = 8\n}\n", "connectivity.longest_settle_s"),
+        ("connectivity {\n  penalty_half_life_s = 0\n}\n", "connectivity.penalty_half_life_s"),
+        ("connectivity {\n  settle = 9\n}\n", "settle"),
     ],
 )
 def test_operator_settings(text: str, named: str | None, tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
--- a/tests/test_measurement.py
+++ b/tests/test_measurement.py
@@ -1,4 +1,4 @@
-"""The measurement of rebalancing and its report."""
+"""The measurements of rebalancing and of half-open cuts, and their reports."""
 
 import json
 import re
@@ -6,6 +6,10 @@
 
 import pytest
 
+from tools import connectivity_measurement as cut_measurement
+from tools import connectivity_report as cut_report
+from tools.connectivity_results import CutDay
+from tools.connectivity_results import summarize as summarize_cuts
 from tools.rebalancing_measurement import main, table
 from tools.rebalancing_report import render
 from tools.rebalancing_results import DayResult, Wait, summarize
@@ -46,3 +50,33 @@
     days = json.loads(written.read_text())
     assert [one["on"] for one in days] == [False, True] and all(one["problems"] == [] for one in days)
     assert len(capsys.readouterr().out.splitlines()) == 3
+
+
+CUT_DAYS = [
+    CutDay("flap", False, 1, 8, 9, 3, 4.5, 10, 100, 0, 60.0),
+    CutDay("flap", False, 2, 10, 10, 5, 5.5, 30, 100, 0, 70.0, ["ran_twice"]),
+    CutDay("flap", True, 1, 0, 0, 0, 0.0, 0, 100, 300, 50.0),
+]
+
+
+def test_cut_days_are_summed_up_by_kind() -> None:
+    off, on = summarize_cuts(CUT_DAYS)
+    assert (off.kind, off.relay, off.problems, on.relay, on.problems) == ("flap", False, 1, True, 0)
+    assert str(off.figures["hand_overs"]) == "9.0 (8 to 10)" and on.figures["relayed"].mean == 300
+    lines = cut_measurement.table([off, on]).splitlines()
+    assert len(lines) == 3 and lines[1].startswith("flap | off | 9.0 (8 to 10)")
+
+
+def test_the_cut_report_is_one_page_with_its_plots_inside() -> None:
+    page = cut_report.render(CUT_DAYS)
+    assert page.count("<svg") == 4 and "<script" not in page and "9.0 (8 to 10)" in page
+    assert not re.search(r'(src|href)="http', page), "nothing is loaded from elsewhere"
+
+
+def test_a_short_cut_measurement_from_end_to_end(tmp_path: Path, capsys: pytest.CaptureFixture) -> None:
+    written = tmp_path / "results.json"
+    kind = "workers lost for 40 s"
+    assert cut_measurement.main(["--seeds", "1", "--kind", kind, "--json", str(written)]) == 0
+    days = json.loads(written.read_text())
+    assert [(one["kind"], one["relay"], one["problems"]) for one in days] == [(kind, False, []), (kind, True, [])]
+    assert len(capsys.readouterr().out.splitlines()) == 3
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,9 +6,13 @@
 import msgspec
 import pytest
 
+from badgerroute.connectivity.relay_routes import RelayRoutes, Route
+from badgerroute.connectivity.worker_silence import silent
+from badgerroute.coordination.membership.forwarding import RequestForwarder
 from badgerroute.coordination.membership.mesh import MAX_QUEUED_BYTES, _Link
 from badgerroute.coordination.parts import summary as summary_module
 from badgerroute.coordination.parts.fencing import Fencing
+from badgerroute.coordination.parts.owner import SUMMARY_KEPT_PER_MACHINE
 from badgerroute.coordination.parts.summary import summarize
 from badgerroute.protocol import mesh
 from badgerroute.protocol.cloud import MachineType
@@ -23,10 +27,11 @@
 from badgerroute.scheduling.planner import Planner
 from badgerroute.scheduling.rental_planning import RentalPlan
 from badgerroute.scheduling.reports import ReportReader
-from badgerroute.settings import CloudLimits, OperatorSettings, Rebalancing, Team
+from badgerroute.settings import CloudLimits, Connectivity, OperatorSettings, Rebalancing, Team
 from badgerroute.storage.cloud import CloudClient
 from badgerroute.storage.records import JobRecord, TaskRange
 from badgerroute.transport.frames import MAX_FRAME
+from badgerroute.transport.http import Request, Response
 from tests.standins.day import HOSTS, SECOND, Day, job
 from tests.test_fleet import busy_part, calls_in
 
@@ -250,3 +255,53 @@
     assert {worker.session for worker in day.site.workers.values()} == {1}, "no lease ran out"
     assert called_silent == []
     assert day.rules.broken == []
+
+
+def test_judging_silence_looks_at_each_machine_once_in_seconds() -> None:
+    costs = []
+    for machines in (FEW, MANY):
+        part, _ = busy_part(machines)
+        costs.append(calls_in(lambda part=part: silent(part, SECOND, 0 * SECOND, 2 * SECOND)))
+    assert costs[1] < 5 * costs[0]
+    assert SUMMARY_KEPT_PER_MACHINE * MANY == 2 * SECOND, "an owner keeps a reading for so long"
+
+
+def test_a_relayed_report_costs_the_same_at_any_size() -> None:
+    """At the controller that relays: to decide, to pass it on, and to hand the answer back."""
+    costs = []
+    for machines in (FEW, MANY):
+        day = Day(seed=1, machines=0)
+        day.run(0.1)
+        routes, sent = RelayRoutes(), []
+        forwarder = RequestForwarder(
+            day.loop, day.group, "b", MANY, 0, lambda host, message, sent=sent: sent.append(message), never_handled
+        )
+        for number in range(machines):
+            routes.decide(f"host-{number}", "a", True, True, SECOND)
+        request = Request("POST", "/checkin", "", b"x" * 600)
+
+        def relay(routes=routes, forwarder=forwarder, sent=sent, day=day, request=request) -> None:
+            assert routes.decide("host-7", "a", True, True, 2 * SECOND) is Route.RELAY
+            routine = day.loop.spawn(forwarder.forward("a", request, SECOND), "relay")
+            routine.step()
+            message = sent.pop()
+            mesh.encoder.encode(message)
+            forwarder.on_response(mesh.ForwardedResponse("a", message.number, 200, b"{}"))
+
+        relay()
+        costs.append(calls_in(relay))
+    assert costs[0] == costs[1] < 100
+
+
+async def never_handled(request: Request, relay: str) -> Response:
+    raise AssertionError("nothing is passed on to this end")
+
+
+def test_all_machines_of_a_controller_can_be_relayed_at_once() -> None:
+    assert Connectivity().relays_at_once >= MANY
+    report = Report("host-0000001", "10.0.0.1:9000", "k8", "a", False, 1, 9, 7, None, TASKS_OF_A_MACHINE)
+    frame = mesh.encoder.encode(mesh.ForwardedRequest("b", 1 << 47, "POST", "/checkin", msgspec.json.encode(report)))
+    assert MANY / 4 * len(frame) < MAX_QUEUED_BYTES, "a quarter of them may wait for a sibling that reads slowly"
+
+
+TASKS_OF_A_MACHINE = [TaskReport(f"run-000412/{index}", 1 << 40, "running") for index in range(16)]
--- /dev/null
+++ b/tools/connectivity_measurement.py
@@ -0,0 +1,125 @@
+"""What half-open cuts cost: days in virtual time with and without relays, over several seeds.
+
+`python -m tools.connectivity_measurement --seeds 5 --report report.html --json results.json`
+"""
+
+import argparse
+import json
+import sys
+from collections.abc import Callable
+from dataclasses import asdict
+from pathlib import Path
+
+from badgerroute.settings import Connectivity, OperatorSettings
+from tests.standins.cuts import CutWatch, between, flap, from_state, from_workers, hold, workload
+from tests.standins.day import HOSTS, SECOND, Day
+from tools.connectivity_results import FIGURES, CutDay, KindSummary, summarize
+
+MACHINES = 12
+SPARE = 2
+END_LIMIT_S = 300
+FIRST, *OTHERS = HOSTS
+
+
+def _workers_flap(seconds: float, mode: str) -> Callable[[Day], None]:
+    return lambda day: flap(day, from_workers(day, [FIRST], mode), seconds, int(56 / seconds))
+
+
+def _workers_cut(seconds: float) -> Callable[[Day], None]:
+    return lambda day: hold(day, from_workers(day, [FIRST], "hold"), seconds)
+
+
+def _state_flap(seconds: float, mode: str) -> Callable[[Day], None]:
+    return lambda day: flap(day, from_state(day, [FIRST], mode), seconds, int(35 / seconds))
+
+
+def _opposite(mode: str) -> Callable[[Day], None]:
+    def play_cut(day: Day) -> None:
+        cut, heal = from_workers(day, OTHERS, mode)
+        cut()
+        hold(day, from_state(day, [FIRST], mode), 40)
+        heal()
+
+    return play_cut
+
+
+def _zone_cut(day: Day) -> None:
+    inside = [FIRST, *(name for name, worker in day.site.workers.items() if worker.zone == "a")]
+    outside = [one for one in (*HOSTS, *day.site.workers, "cloud", f"state-{FIRST}") if one not in inside]
+    hold(day, between(day, inside, outside, "hold"), 30)
+
+
+KINDS: dict[str, Callable[[Day], None]] = {
+    "workers lost for 7 s in every 14, reset": _workers_flap(7, "reset"),
+    "workers lost for 7 s in every 14, held": _workers_flap(7, "hold"),
+    "workers lost for 3 s in every 6, held": _workers_flap(3, "hold"),
+    "reports lost for 7 s in every 14, one way": _workers_flap(7, "one_way"),
+    "workers lost for 40 s": _workers_cut(40),
+    "workers lost for 80 s": _workers_cut(80),
+    "state service refuses for 3 s in every 6": _state_flap(3, "refuse"),
+    "state service lost for 7 s in every 14": _state_flap(7, "hold"),
+    "opposite half-open cuts for 40 s, reset": _opposite("reset"),
+    "opposite half-open cuts for 40 s, held": _opposite("hold"),
+    "a zone cut off for 30 s": _zone_cut,
+}
+
+
+def play(kind: str, relay: bool, seed: int) -> CutDay:
+    """Play one day with one kind of cut."""
+    operator = OperatorSettings(connectivity=Connectivity(relay=relay))
+    day = Day(seed, machines=MACHINES, capacity=SPARE, operator=operator)
+    workload(day)
+    began = day.loop.now()
+    watch = CutWatch(day)
+    KINDS[kind](day)
+    counts = watch.end()
+    unfinished = day.finish(END_LIMIT_S)
+    return CutDay(
+        kind=kind,
+        relay=relay,
+        seed=seed,
+        hand_overs=counts.hand_overs,
+        claims=counts.claims,
+        killed_by_lease=len(counts.killed_by_lease),
+        without_owner_s=counts.part_seconds_without_owner,
+        refused=counts.users_503,
+        asked=counts.users_asked,
+        relayed=counts.relayed,
+        makespan_s=(day.loop.now() - began) / SECOND,
+        problems=[*day.rules.broken, *day.history_problems(), *(f"unfinished: {ref}" for ref in unfinished)],
+    )
+
+
+def table(summaries: list[KindSummary]) -> str:
+    """The figures as text: mean, least and most over the seeds."""
+    lines = [" | ".join(["cut", "relays", *FIGURES.values(), "problems"])]
+    for summary in summaries:
+        figures = [str(summary.figures[name]) for name in FIGURES]
+        lines.append(" | ".join([summary.kind, "on" if summary.relay else "off", *figures, str(summary.problems)]))
+    return "\n".join(lines)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the measurement; 1 if any day broke a rule or lost a run."""
+    parser = argparse.ArgumentParser(prog="connectivity_measurement")
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--first-seed", type=int, default=1)
+    parser.add_argument("--kind", action="append", choices=list(KINDS), help="only these kinds of cut")
+    parser.add_argument("--json", type=Path, help="write the results there")
+    parser.add_argument("--report", type=Path, help="write an HTML report there")
+    options = parser.parse_args(arguments)
+    seeds = range(options.first_seed, options.first_seed + options.seeds)
+    days = [play(kind, relay, seed) for kind in options.kind or KINDS for relay in (False, True) for seed in seeds]
+    summaries = summarize(days)
+    print(table(summaries))
+    if options.json is not None:
+        options.json.write_text(json.dumps([asdict(day) for day in days]))
+    if options.report is not None:
+        from tools.connectivity_report import render
+
+        options.report.write_text(render(days))
+    return int(any(day.problems for day in days))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/connectivity_report.py
@@ -0,0 +1,51 @@
+"""An HTML report of a connectivity measurement, with its plots inside: one file, no scripts."""
+
+import jinja2
+from matplotlib import pyplot
+
+from tools.connectivity_results import FIGURES, CutDay, KindSummary, summarize
+from tools.plots import PAGE_STYLE, svg
+
+PLOTTED = ("hand_overs", "killed_by_lease", "without_owner_s", "refused")
+TEMPLATE = jinja2.Template(
+    """<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>Half-open cuts, with and without relays</title>
+<style>{{ style }}</style></head><body>
+<h1>Half-open cuts, with and without relays</h1>
+<p>Days in virtual time on stand-ins, three controllers, {{ seeds }} seeds. Mean over the seeds, least and most in
+brackets.</p>
+<table><tr><th>cut</th><th>relays</th>{% for title in titles %}<th>{{ title }}</th>{% endfor %}<th>problems</th></tr>
+{% for summary in summaries %}<tr><td>{{ summary.kind }}</td><td>{{ "on" if summary.relay else "off" }}</td>
+{% for name in names %}<td>{{ summary.figures[name] }}</td>{% endfor %}<td>{{ summary.problems }}</td></tr>
+{% endfor %}</table>
+{% for title, plot in plots %}<h2>{{ title }}</h2>{{ plot }}
+{% endfor %}</body></html>"""
+)
+
+
+def _plot(summaries: list[KindSummary], name: str) -> str:
+    kinds = list(dict.fromkeys(summary.kind for summary in summaries))
+    figure, axes = pyplot.subplots(figsize=(9, 0.5 + 0.45 * len(kinds)))
+    for offset, relay, label in ((-0.2, False, "without relays"), (0.2, True, "with")):
+        chosen = {summary.kind: summary.figures[name] for summary in summaries if summary.relay == relay}
+        rows = [row + offset for row, kind in enumerate(kinds) if kind in chosen]
+        spreads = [chosen[kind] for kind in kinds if kind in chosen]
+        errors = [[one.mean - one.least for one in spreads], [one.most - one.mean for one in spreads]]
+        axes.barh(rows, [one.mean for one in spreads], 0.38, xerr=errors, label=label)
+    axes.set_yticks(range(len(kinds)), kinds)
+    axes.invert_yaxis()
+    axes.legend()
+    return svg(figure)
+
+
+def render(days: list[CutDay]) -> str:
+    """The report as one HTML page."""
+    summaries = summarize(days)
+    return TEMPLATE.render(
+        style=PAGE_STYLE,
+        seeds=len({day.seed for day in days}),
+        summaries=summaries,
+        names=list(FIGURES),
+        titles=list(FIGURES.values()),
+        plots=[(FIGURES[name], _plot(summaries, name)) for name in PLOTTED],
+    )
--- a/tools/rebalancing_report.py
+++ b/tools/rebalancing_report.py
@@ -1,24 +1,17 @@
 """An HTML report of a rebalancing measurement, with its plots inside: one file, no scripts."""
 
-from io import StringIO
-
 import jinja2
-import matplotlib
-
-matplotlib.use("svg")
-
-from matplotlib import pyplot  # noqa: E402  (the drawing back end must be chosen first)
+from matplotlib import pyplot
 
-from tools.rebalancing_results import DayResult, summarize  # noqa: E402
+from tools.plots import PAGE_STYLE, svg
+from tools.rebalancing_results import DayResult, summarize
 
 TEAM_COLOURS = {"blue": "tab:blue", "red": "tab:red", "green": "tab:green"}
 ALLOWED_RATIO = 2.0
 TEMPLATE = jinja2.Template(
     """<!doctype html>
 <html lang="en"><head><meta charset="utf-8"><title>Rebalancing: queue waits with and without</title>
-<style>body{font-family:sans-serif;max-width:64rem;margin:2rem auto;padding:0 1rem}
-table{border-collapse:collapse}td,th{border:1px solid #999;padding:.3rem .6rem;text-align:right}
-svg{max-width:100%;height:auto}</style></head><body>
+<style>{{ style }}</style></head><body>
 <h1>Rebalancing: queue waits with and without</h1>
 <p>Days in virtual time on stand-ins, {{ machines }} machines of {{ cpus }} processors, three controllers,
 {{ seeds }} seeds. One team triples its load after a while; two others send an array now and then.</p>
@@ -40,14 +33,6 @@
 )
 
 
-def _svg(figure: pyplot.Figure) -> str:
-    text = StringIO()
-    figure.savefig(text, format="svg", bbox_inches="tight")
-    pyplot.close(figure)
-    drawn = text.getvalue()
-    return drawn[drawn.index("<svg") :]
-
-
 def _ratios_plot(results: list[DayResult]) -> str:
     figure, axes = pyplot.subplots(figsize=(8, 3))
     for offset, on in ((-0.2, False), (0.2, True)):
@@ -59,7 +44,7 @@
     axes.set_xlabel("seed")
     axes.set_ylabel("median wait of the worst team\nin medians of the fleet")
     axes.legend()
-    return _svg(figure)
+    return svg(figure)
 
 
 def _waits_plot(results: list[DayResult]) -> str:
@@ -76,7 +61,7 @@
         plot.set_xlabel("submitted at, s")
     axes[0][0].set_ylabel("wait until started, s")
     axes[0][0].legend()
-    return _svg(figure)
+    return svg(figure)
 
 
 def render(results: list[DayResult]) -> str:
@@ -87,6 +72,7 @@
         if any(day.on == on for day in results)
     ]
     return TEMPLATE.render(
+        style=PAGE_STYLE,
         machines=results[0].machines,
         cpus=4,
         seeds=len({day.seed for day in results}),
