Names: locals say what they hold

Need: `one` and `found` stood for machines, placements, summaries, look-ups and whatever else was at hand.

Change: some ninety of them, in comprehensions, loops and functions, named by what they hold. Nothing else.

--- a/badgerroute/connectivity/hand_over_choice.py
+++ b/badgerroute/connectivity/hand_over_choice.py
@@ -17,9 +17,9 @@
 
     `machines`: how many the part has, which its new owner gets on top of what it owns.
     """
-    hearing = [one for one in candidates if one.machines_heard > 0]
+    hearing = [candidate for candidate in candidates if candidate.machines_heard > 0]
     if not hearing:
         return None
-    most = max(one.machines_heard for one in hearing)
-    close = [one for one in hearing if 2 * one.machines_heard >= most]
+    most = max(candidate.machines_heard for candidate in hearing)
+    close = [candidate for candidate in hearing if 2 * candidate.machines_heard >= most]
     return min(close, key=lambda one: (one.machines_owned + machines, -one.machines_heard, one.host))
--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -72,7 +72,7 @@
         self.mesh = Mesh(settings, loop, network, group, self._on_message)
         self.claims = Claims(settings, loop, self.state, self.replica, self._won, self._lost, self._claim_permission)
         self.permits = ActionGate(self.claims, lambda: self.monitor.mode)
-        hosts = [one.host_name for one in settings.platform.siblings]
+        hosts = [sibling.host_name for sibling in settings.platform.siblings]
         self.cancellation_broadcast = CancellationBroadcast(
             loop, settings.platform.host_name, hosts, self.mesh.send, params.workers.cancel
         )
--- a/badgerroute/coordination/fleet/catalog.py
+++ b/badgerroute/coordination/fleet/catalog.py
@@ -60,10 +60,10 @@
 
     async def _store(self, types: list[MachineType]) -> None:
         """In one key, or in one for each type where that would be too large: every version reads both."""
-        found = {CATALOG: records.write(CatalogRecord(types))}
-        if len(bytes(found[CATALOG])) > self._state.max_value_bytes:
-            found = {f"{CATALOG}/{kind.name}": records.write(CatalogRecord([kind])) for kind in types}
-        for key, value in found.items():
+        values = {CATALOG: records.write(CatalogRecord(types))}
+        if len(bytes(values[CATALOG])) > self._state.max_value_bytes:
+            values = {f"{CATALOG}/{kind.name}": records.write(CatalogRecord([kind])) for kind in types}
+        for key, value in values.items():
             if self._replica.value(key) == bytes(value) or len(bytes(value)) > self._state.max_value_bytes:
                 continue
             try:
--- a/badgerroute/coordination/fleet/rentals.py
+++ b/badgerroute/coordination/fleet/rentals.py
@@ -219,7 +219,7 @@
         return pending.place.type not in self._catalog or age <= BOOT_DUE * self._boot_time(pending.place.type)
 
     def _count(self) -> int:
-        return len(self._replica.under(MACHINES)) + sum(one.count for one in self._pending.values())
+        return len(self._replica.under(MACHINES)) + sum(pending.count for pending in self._pending.values())
 
     async def _rent(self) -> None:
         for key in self._replica.under(MACHINES):
--- a/badgerroute/coordination/jobs/job_reader.py
+++ b/badgerroute/coordination/jobs/job_reader.py
@@ -49,11 +49,11 @@
         final = self._store.final(ref)
         if final is not None:
             return JobLookup(final)
-        found = await self._read_through(ref, urgency)
-        if found is not None and self._store.waits(ref):
+        lookup = await self._read_through(ref, urgency)
+        if lookup is not None and self._store.waits(ref):
             await self._replica.current()
             return await self._decide_waiting(ref) or await self._read_through(ref, urgency)
-        return found
+        return lookup
 
     async def current(self, ref: str) -> JobLookup | None:
         """The same from our copy, once that has caught up with the state service: for the many who only look."""
@@ -61,9 +61,9 @@
         if final is None:
             await self._replica.current()
             if self._store.waits(ref):
-                found = await self._decide_waiting(ref)
-                if found is not None:
-                    return found
+                lookup = await self._decide_waiting(ref)
+                if lookup is not None:
+                    return lookup
             final = self._store.final(ref)
         if final is not None:
             return JobLookup(final)
@@ -105,10 +105,10 @@
         """What to say of a job that was just accepted. `queued`, as far as can be told now, is no promise."""
         try:
             # It may have its final state by now: a sibling withdrew it as soon as it saw the record.
-            found = await self._decide_waiting(ref) or await self.look_up(ref)
+            lookup = await self._decide_waiting(ref) or await self.look_up(ref)
         except StateUnavailableError:
             return "queued"
-        return "withdrawn" if found is not None and found.state is JobState.WITHDRAWN else "queued"
+        return "withdrawn" if lookup is not None and lookup.state is JobState.WITHDRAWN else "queued"
 
     async def refresh(self, keys: Iterable[str]) -> None:
         """Read back keys whose state is in doubt."""
@@ -120,12 +120,12 @@
                 self._store.forget_record(key.removeprefix(JOBS))
                 await self._loop.sleep(REMOVAL_PAUSE)
 
-    def view(self, ref: str, found: JobLookup, running: int) -> JobView:
+    def view(self, ref: str, lookup: JobLookup, running: int) -> JobView:
         """What a user is shown; `running` tasks are as last heard."""
-        if found.record is None:
-            return JobView(ref, "done" if found.state is JobState.DONE else "withdrawn")
-        done = self._store.done(ref, found.record).bit_count()
-        running = min(running, found.record.job.tasks - done)
+        if lookup.record is None:
+            return JobView(ref, "done" if lookup.state is JobState.DONE else "withdrawn")
+        done = self._store.done(ref, lookup.record).bit_count()
+        running = min(running, lookup.record.job.tasks - done)
         return JobView(ref, "running" if running else "queued", done, running)
 
     async def _decide_waiting(self, ref: str) -> JobLookup | None:
--- a/badgerroute/coordination/jobs/job_store.py
+++ b/badgerroute/coordination/jobs/job_store.py
@@ -175,7 +175,9 @@
         """
         if ref not in self.active or ref in self.dependencies.cancelled or not self.waits(ref):
             return False
-        return ref in self._lacking or not any(one in self.active for one in self.dependencies.waits_for(ref))
+        return ref in self._lacking or not any(
+            predecessor in self.active for predecessor in self.dependencies.waits_for(ref)
+        )
 
     def lacks_predecessors(self, ref: str) -> bool:
         """Whether not all keys that name a job's predecessors have come yet."""
--- a/badgerroute/coordination/jobs/job_writer.py
+++ b/badgerroute/coordination/jobs/job_writer.py
@@ -148,13 +148,13 @@
 
     async def _cancel(self, ref: str) -> JobState | None:
         for _ in range(MAX_CANCEL_TRIES):
-            found = await self._reader.look_up(ref, Urgency.CANCEL)
-            if found is None:
+            lookup = await self._reader.look_up(ref, Urgency.CANCEL)
+            if lookup is None:
                 return None
-            if found.record is None:
-                return found.state
-            final = records.write(FinalStateRecord(JobState.WITHDRAWN, found.record.job.tasks, self._today()))
-            unchanged = [when(JOBS + ref, found.revision)]
+            if lookup.record is None:
+                return lookup.state
+            final = records.write(FinalStateRecord(JobState.WITHDRAWN, lookup.record.job.tasks, self._today()))
+            unchanged = [when(JOBS + ref, lookup.revision)]
             changes: list[Put | Remove] = [remove(JOBS + ref), put(FINAL_STATES + ref, final)]
             try:
                 applied = await self._state.transact(unchanged, changes, Urgency.CANCEL, ANSWER_LIMIT)
--- a/badgerroute/coordination/jobs/pipelines.py
+++ b/badgerroute/coordination/jobs/pipelines.py
@@ -144,8 +144,8 @@
                 log.info("event=tidying_delayed error=%s", error)
 
     async def _tidy(self, ref: str) -> None:
-        found = await self._job_reader.look_up(ref, Urgency.PROGRESS)
-        if found is not None and found.record is not None:
+        lookup = await self._job_reader.look_up(ref, Urgency.PROGRESS)
+        if lookup is not None and lookup.record is not None:
             return  # it is not over
         keys = sorted(self._job_store.pages.get(ref, ()))[: self._state.max_changes]
         conditions = [when(key, self._replica.revision_of(key)) for key in keys]
--- a/badgerroute/coordination/jobs/record_paging.py
+++ b/badgerroute/coordination/jobs/record_paging.py
@@ -154,13 +154,15 @@
     async def _write(self, ref: str, revision: int, changes: list[KeyValue]) -> bool:
         """Write some of a record's pages, or at last the record; whether they are written."""
         conditions = [when(JOBS + ref, revision)]
-        conditions += [when(one.key, self._replica.revision_of(one.key)) for one in changes if one.key != JOBS + ref]
-        puts = [put(one.key, one.value) for one in changes]
+        conditions += [
+            when(change.key, self._replica.revision_of(change.key)) for change in changes if change.key != JOBS + ref
+        ]
+        puts = [put(change.key, change.value) for change in changes]
         try:
             applied = await self._state.transact(conditions, puts, Urgency.PROGRESS)
         except (ConflictError, StateUnavailableError, OutcomeUnknownError, LeaseExpiredError) as error:
             log.info("event=spill_delayed job=%s error=%s", ref, error)
             return False
-        for one in changes:
-            self._store.published(one.key, bytes(one.value), applied)
+        for change in changes:
+            self._store.published(change.key, bytes(change.value), applied)
         return True
--- a/badgerroute/coordination/membership/mesh.py
+++ b/badgerroute/coordination/membership/mesh.py
@@ -57,7 +57,9 @@
         self, settings: Settings, loop: Loop, network: Network, group: Group, receive: Callable[[wire.Message], None]
     ) -> None:
         self._loop, self._network, self._group, self._receive = loop, network, group, receive
-        self._links = {one.host_name: _Link(one.host_name, one.endpoint) for one in settings.platform.siblings}
+        self._links = {
+            sibling.host_name: _Link(sibling.host_name, sibling.endpoint) for sibling in settings.platform.siblings
+        }
         self._address = settings.platform.mesh_addr
         self._incoming = 0
         self._most_incoming = 4 * max(1, len(self._links)) + 4
--- a/badgerroute/coordination/parts/deleted_machines.py
+++ b/badgerroute/coordination/parts/deleted_machines.py
@@ -50,9 +50,9 @@
         while names and self._part.number in self._claims.parts:
             key, known = self._page()
             batch = names[: min(self._state.max_changes - 1, self._names_per_page - len(known), MAX_MACHINES_PER_WRITE)]
-            gone = records.write(DeletedMachinesRecord([*known, *(one for one in batch if one not in known)]))
+            gone = records.write(DeletedMachinesRecord([*known, *(name for name in batch if name not in known)]))
             members = [MACHINES + name for name in batch if self._replica.revision_of(MACHINES + name)]
-            changes: list[Put | Remove] = [put(key, gone), *(remove(one) for one in members)]
+            changes: list[Put | Remove] = [put(key, gone), *(remove(key) for key in members)]
             # On the page as we know it: carried out late, an older write of it would strike newer names off.
             conditions = [self._claims.condition(self._part.number), when(key, self._replica.revision_of(key))]
             try:
--- a/badgerroute/coordination/parts/forecast.py
+++ b/badgerroute/coordination/parts/forecast.py
@@ -137,7 +137,9 @@
                 starving.add(ref)
             run = self._run_time(record)
             waves = -(-count // at_once)
-            due = [one - age for one in self._objectives.due(spec, timedelta(seconds=began - record.accepted))]
+            due = [
+                due_time - age for due_time in self._objectives.due(spec, timedelta(seconds=began - record.accepted))
+            ]
             if ref in needed:
                 due.append(timedelta(seconds=needed[ref] - today))
             due.sort()
@@ -172,7 +174,7 @@
                 kind = self._types[key] = records.read(self._replica.stored(key), records.MachineRecord).type
             if kind in self._catalog:
                 total[kind] = total.get(kind, 0.0) + self._catalog[kind].cpus
-        gangs = [one.job for _, one in self._job_store.schedulable() if one.job.gang]
+        gangs = [record.job for _, record in self._job_store.schedulable() if record.job.gang]
         fitting = {
             kind for kind in total for job in gangs if capacity_of(self._catalog[kind]).holds(need_of(job))
         }  # machine types that gangs can use
--- a/badgerroute/coordination/parts/machine_loans.py
+++ b/badgerroute/coordination/parts/machine_loans.py
@@ -78,16 +78,16 @@
     def _lendable(self, message: MachineLoanRequest) -> list[Machine]:
         """Empty machines for as many of the gang's tasks as are asked for."""
         need = need_of(message.job)
-        found: list[Machine] = []
+        lendable: list[Machine] = []
         slots = 0
         for machine in self._part.machines.values():
-            if slots >= message.count or len(found) >= self._state.max_changes:
+            if slots >= message.count or len(lendable) >= self._state.max_changes:
                 break
             fits = machine.usable and machine.empty and machine.held_for is None and machine.free.holds(need)
             if fits and allows(message.job, machine.kind.name, machine.zone, machine.spot):
                 slots += machine.free.times(need)
-                found.append(machine)
-        return found
+                lendable.append(machine)
+        return lendable
 
     @staticmethod
     def _transfer(machine: Machine, part: int) -> Put:
@@ -100,12 +100,12 @@
         key = MACHINES + machine.name
         while self._part.machines.get(machine.name) is machine:
             try:
-                found = await self._state.get(key, Urgency.COMPLETE)
-                if found is None or records.read(bytes(found.value), MachineRecord).part != self._part.number:
+                item = await self._state.get(key, Urgency.COMPLETE)
+                if item is None or records.read(bytes(item.value), MachineRecord).part != self._part.number:
                     return  # the watch brings it
-                conditions = [self._claims.condition(self._part.number), when(key, found.revision)]
-                at = await self._state.transact(conditions, [put(key, found.value)], Urgency.COMPLETE)
-                self._replica.learn(key, bytes(found.value), at)
+                conditions = [self._claims.condition(self._part.number), when(key, item.revision)]
+                at = await self._state.transact(conditions, [put(key, item.value)], Urgency.COMPLETE)
+                self._replica.learn(key, bytes(item.value), at)
                 machine.draining = False
                 return
             except (StateUnavailableError, OutcomeUnknownError, ConflictError, LeaseExpiredError):
--- a/badgerroute/coordination/parts/member_registry.py
+++ b/badgerroute/coordination/parts/member_registry.py
@@ -32,10 +32,10 @@
 
     def add(self, name: str, record: MachineRecord) -> Future:
         """Queue a new member; the future tells whether it was written down."""
-        found = self._waiting.get(name)
-        if found is None:
-            found = self._waiting[name] = (record, Future())
-        return found[1]
+        queued = self._waiting.get(name)
+        if queued is None:
+            queued = self._waiting[name] = (record, Future())
+        return queued[1]
 
     def start(self) -> None:
         """Begin to write what is queued, unless that is under way."""
--- a/badgerroute/coordination/parts/migration.py
+++ b/badgerroute/coordination/parts/migration.py
@@ -114,9 +114,9 @@
         for job in self.planner.unplaceable_gangs(now):
             if now - self._passed_on.get(job.ref, -PASS_ON_PAUSE) < PASS_ON_PAUSE:
                 continue
-            others = [one for one in summaries if one.part != self.number and one.settled]
-            options = [one for one in others if holds_whole_job(job, one.capacities)] or [
-                one for one in others if holds_whole_job(job, one.soft.get(job.level, []))
+            others = [summary for summary in summaries if summary.part != self.number and summary.settled]
+            options = [summary for summary in others if holds_whole_job(job, summary.capacities)] or [
+                summary for summary in others if holds_whole_job(job, summary.soft.get(job.level, []))
             ]
             record = self._job_store.active.get(job.ref)
             if record is None:
@@ -125,7 +125,12 @@
                 self._request_loan(job, now, others)
                 continue
             target = min(
-                options, key=lambda one: (-self._beside(job, one), sum(want.gang for want in one.demands), one.part)
+                options,
+                key=lambda summary: (
+                    -self._beside(job, summary),
+                    sum(want.gang for want in summary.demands),
+                    summary.part,
+                ),
             )
             self._passed_on = {ref: at for ref, at in self._passed_on.items() if now - at < PASS_ON_PAUSE}
             self._passed_on[job.ref] = now
@@ -142,7 +147,7 @@
         for machine in self.part.machines.values():
             if machine.held_for == job.ref:
                 here[machine.zone if job.spec.together else ANY_ZONE] += 1
-        whole = here + sum((slots_by_zone(job, one.capacities) for one in others), Counter())
+        whole = here + sum((slots_by_zone(job, summary.capacities) for summary in others), Counter())
         if not whole:
             return
         # Room in two zones is no room for a gang that must lie in one: such a gang once waited for ever.
@@ -248,12 +253,12 @@
         key = JOBS + job.ref
         while True:
             try:
-                found = await self._state.get(key, Urgency.COMPLETE)
-                if found is None:
+                item = await self._state.get(key, Urgency.COMPLETE)
+                if item is None:
                     return  # it has its final state: the watch drops it
-                at = await self._state.transact([when(key, found.revision)], [put(key, found.value)], Urgency.COMPLETE)
-                self._replica.learn(key, bytes(found.value), at)
-                self._publish(key, bytes(found.value), at)
+                at = await self._state.transact([when(key, item.revision)], [put(key, item.value)], Urgency.COMPLETE)
+                self._replica.learn(key, bytes(item.value), at)
+                self._publish(key, bytes(item.value), at)
                 self._given(job, given)
                 return
             except (StateUnavailableError, OutcomeUnknownError, ConflictError, LeaseExpiredError):
--- a/badgerroute/coordination/parts/owner.py
+++ b/badgerroute/coordination/parts/owner.py
@@ -228,8 +228,8 @@
             self._progressed()
         if not self.part.settled:
             self.part.settle()
-        for one in events.quarantined:
-            self.group.spawn(self._retire_quarantined(one), "retire")
+        for machine in events.quarantined:
+            self.group.spawn(self._retire_quarantined(machine), "retire")
         return True
 
     async def _retire_quarantined(self, machine: Machine) -> None:
@@ -271,15 +271,15 @@
         while True:
             await self._loop.sleep(STATE_LOGGED)
             machines = list(self.part.machines.values())
-            phases = Counter(one.phase.value for machine in machines for one in machine.placements.values())
+            phases = Counter(placement.phase.value for machine in machines for placement in machine.placements.values())
             log.info(
                 "event=part_state part=%d machines=%d unusable=%d empty=%d held=%d free=%.0f jobs=%d wanting=%d %s",
                 self.number,
                 len(machines),
-                sum(not one.usable for one in machines),
-                sum(one.empty for one in machines),
-                sum(one.held_for is not None for one in machines),
-                sum(one.free.cpus for one in machines),
+                sum(not machine.usable for machine in machines),
+                sum(machine.empty for machine in machines),
+                sum(machine.held_for is not None for machine in machines),
+                sum(machine.free.cpus for machine in machines),
                 len(self.part.jobs),
                 sum(job.waiting_bits.bit_count() for job in self.part.jobs.values()),
                 " ".join(f"{phase}={count}" for phase, count in sorted(phases.items())),
@@ -291,10 +291,12 @@
         for machine in lost:
             machine.lost_at = now
         if lost:
-            log.info("event=machines_lost part=%d machines=%s", self.number, ",".join(one.name for one in lost))
+            log.info("event=machines_lost part=%d machines=%s", self.number, ",".join(machine.name for machine in lost))
         # Deleted only if it stays silent: when we could not answer for a while, all come back by themselves.
         silent = {
-            one.name: one.lost_at for one in self.part.machines.values() if not one.alive and one.lost_at is not None
+            machine.name: machine.lost_at
+            for machine in self.part.machines.values()
+            if not machine.alive and machine.lost_at is not None
         }
         patience = LOST_PATIENCE if 3 * len(silent) <= len(self.part.machines) + 3 else 5 * LOST_PATIENCE
         names = [name for name, lost_at in silent.items() if now - lost_at > patience]
@@ -326,7 +328,9 @@
                     else:
                         begun = placement.running_since is not None
                         withdrawn[placement.machine] = begun and withdrawn.get(placement.machine, True)
-        direct = [one for one in sorted(withdrawn, key=lambda one: withdrawn[one]) if one not in gangs]
+        direct = [
+            machine for machine in sorted(withdrawn, key=lambda machine: withdrawn[machine]) if machine not in gangs
+        ]
         for machine in (*gangs, *direct[:MAX_DIRECT_CANCELLATIONS]):
             commands = self.part.commands(machine, self._loop.now(), starts=False)
             self.group.spawn(self.commands.send(machine, commands, urgent=True), "halt")
@@ -370,7 +374,7 @@
 
     def batch(self) -> list[Progress]:
         """Newly done tasks to be written down: at once if they may be the job's last, else once in a while."""
-        found = []
+        batch = []
         now = self._loop.now()
         for ref in list(self.progress):
             job = self.part.jobs.get(ref)
@@ -380,5 +384,5 @@
             last = not job.owned & ~(job.done | job.done_here)
             if last or now - job.written >= PARTIAL:
                 job.written = now
-                found.append(Progress(ref, job.done_here, {self.number}))
-        return found
+                batch.append(Progress(ref, job.done_here, {self.number}))
+        return batch
--- a/badgerroute/coordination/parts/progress_duty.py
+++ b/badgerroute/coordination/parts/progress_duty.py
@@ -51,13 +51,13 @@
     async def _write(self) -> None:
         merged: dict[str, Progress] = {}
         for owner in self._owners.values():
-            for one in owner.batch():
-                known = merged.get(one.ref)
+            for progress in owner.batch():
+                known = merged.get(progress.ref)
                 if known is None:
-                    merged[one.ref] = one
+                    merged[progress.ref] = progress
                 else:
-                    known.done |= one.done
-                    known.parts |= one.parts
+                    known.done |= progress.done
+                    known.parts |= progress.parts
         if not merged:
             return
 
--- a/badgerroute/coordination/parts/summary.py
+++ b/badgerroute/coordination/parts/summary.py
@@ -74,21 +74,21 @@
 def _demands(planner: Planner, now: timedelta) -> list[PendingDemand]:
     return [
         PendingDemand(
-            one.ref,
-            one.team,
-            one.need.cpus,
-            one.need.accelerators,
-            one.need.memory_gb,
-            one.count,
-            one.gang,
-            one.level,
-            one.guaranteed,
-            one.waited.total_seconds(),
-            one.job.spec.types,
-            one.job.spec.zone,
-            one.job.spec.spot,
+            demand.ref,
+            demand.team,
+            demand.need.cpus,
+            demand.need.accelerators,
+            demand.need.memory_gb,
+            demand.count,
+            demand.gang,
+            demand.level,
+            demand.guaranteed,
+            demand.waited.total_seconds(),
+            demand.job.spec.types,
+            demand.job.spec.zone,
+            demand.job.spec.spot,
         )
-        for one in planner.shapes(now)[: max_demands(len(planner.part.machines))]
+        for demand in planner.shapes(now)[: max_demands(len(planner.part.machines))]
     ]
 
 
@@ -100,7 +100,7 @@
     running = {
         job.ref: count
         for job in part.jobs.values()
-        if (count := sum(one.running_since is not None for one in job.placed.values()))
+        if (count := sum(placement.running_since is not None for placement in job.placed.values()))
     }
     return PartSummary(
         part=part.number,
@@ -114,7 +114,7 @@
         demands=_demands(planner, now),
         freeing=0.0 if rents_ahead else planner.freeing(now),  # only renting by need looks at it
         running=running,
-        used={team: (one.cpus, one.accelerators) for team, one in part.usage.items() if one.tasks},
+        used={team: (usage.cpus, usage.accelerators) for team, usage in part.usage.items() if usage.tasks},
         silent=silent,
         load=part.guidance.load(part, now),
     )
--- a/badgerroute/coordination/quotas/team_quotas.py
+++ b/badgerroute/coordination/quotas/team_quotas.py
@@ -83,7 +83,7 @@
         """What of a team's limit no part holds."""
         cpus, gpus = self.teams[team].limits
         held = self._record(team).shares.values()
-        return Room(cpus - sum(one[0] for one in held), gpus - sum(one[1] for one in held))
+        return Room(cpus - sum(share[0] for share in held), gpus - sum(share[1] for share in held))
 
     def _limited(self, team: str, lack: Room) -> Room:
         """What is lacking of that which has a limit."""
@@ -141,8 +141,8 @@
             shares[str(part)] = (round(share[0], 6), round(share[1], 6))
         cpus, gpus = self.teams[team].limits
         if (
-            sum(one[0] for one in shares.values()) > cpus + EPSILON
-            or sum(one[1] for one in shares.values()) > gpus + EPSILON
+            sum(share[0] for share in shares.values()) > cpus + EPSILON
+            or sum(share[1] for share in shares.values()) > gpus + EPSILON
         ):
             return False
         key = SHARES + team
--- a/badgerroute/coordination/requests/split.py
+++ b/badgerroute/coordination/requests/split.py
@@ -15,11 +15,11 @@
 def _free_slots(job: Submission, summary: PartSummary) -> int:
     need = need_of(job)
     return sum(
-        one.count * Room(one.cpus, one.accelerators, one.memory_gb).times(need)
-        for one in summary.capacities
-        if (job.types is None or one.type in job.types)
-        and (job.zone is None or job.zone == one.zone)
-        and (job.spot or not one.spot)
+        capacity.count * Room(capacity.cpus, capacity.accelerators, capacity.memory_gb).times(need)
+        for capacity in summary.capacities
+        if (job.types is None or capacity.type in job.types)
+        and (job.zone is None or job.zone == capacity.zone)
+        and (job.spot or not capacity.spot)
     )
 
 
@@ -35,17 +35,17 @@
     """How much of a new job each part should get: by cached images, else by free slots, else by its queue."""
     by_part = {summary.part: summary for summary in summaries}
     parts = [by_part.get(part) for part in range(size)]
-    free = [_free_slots(job, one) if one else 0 for one in parts]
+    free = [_free_slots(job, summary) if summary else 0 for summary in parts]
     cached = [
-        min(free[number], int(one.images.get(job.image, (0.0, 0.0))[0] / max(job.cpus, 0.01))) if one else 0
-        for number, one in enumerate(parts)
+        min(free[number], int(summary.images.get(job.image, (0.0, 0.0))[0] / max(job.cpus, 0.01))) if summary else 0
+        for number, summary in enumerate(parts)
     ]
     if sum(cached) >= job.tasks:
-        return [float(one) for one in cached]
+        return [float(count) for count in cached]
     if sum(free) > 0:
-        return [float(one) for one in free]
+        return [float(count) for count in free]
     # Nothing is free: the part with the shortest queue for its size will come to it first.
-    return [(one.machines + 1.0) / (_queued(one) + 10.0) if one else 0.01 for one in parts]
+    return [(summary.machines + 1.0) / (_queued(summary) + 10.0) if summary else 0.01 for summary in parts]
 
 
 def _drawn_part(ref: str, shares: list[float]) -> int:
@@ -70,7 +70,7 @@
     if job.gang or job.together or job.spread:
         # Whole jobs go where most machines cache their image, even if lesser work must make room: a fetch may take as
         # long as the run. And where too few do, what is fetched now is there, in the same part, for the next one.
-        by_part = {one.part: one for one in summaries}
+        by_part = {summary.part: summary for summary in summaries}
 
         def beside(part: int) -> int:
             rooms = by_part[part].beside.get(job.image, ()) if part in by_part else ()
--- a/badgerroute/coordination/requests/users.py
+++ b/badgerroute/coordination/requests/users.py
@@ -76,25 +76,25 @@
             # One that names a job which is cancelled by now is accepted all the same, and withdrawn at once.
             state = await self._job_reader.state_after_acceptance(job.ref) if job.predecessors else "queued"
             return answer(201, {"ref": job.ref, "condition": state})
-        found = await self._job_reader.look_up(job.ref, Urgency.SUBMIT)
-        return come_back("undecided") if found is None else self._state_answer(200, job.ref, found)
+        lookup = await self._job_reader.look_up(job.ref, Urgency.SUBMIT)
+        return come_back("undecided") if lookup is None else self._state_answer(200, job.ref, lookup)
 
     async def _refused(self, job: Submission, problem: str) -> Response:
         """Whoever accepted it may have known better: only a job that nobody knows can be refused."""
-        found = await self._job_reader.look_up(job.ref, Urgency.SUBMIT)
-        if found is not None:
-            return self._state_answer(200, job.ref, found)
+        lookup = await self._job_reader.look_up(job.ref, Urgency.SUBMIT)
+        if lookup is not None:
+            return self._state_answer(200, job.ref, lookup)
         log.info("event=submission_refused job=%s team=%s error=%s", job.ref, job.team, problem)
         return error(422, problem)
 
     async def _known(self, job: Submission) -> Response | None:
         if not self._job_store.knows(job.ref):
             return None
-        found = await self._job_reader.look_up(job.ref, Urgency.SUBMIT)
-        return None if found is None else self._state_answer(200, job.ref, found)
+        lookup = await self._job_reader.look_up(job.ref, Urgency.SUBMIT)
+        return None if lookup is None else self._state_answer(200, job.ref, lookup)
 
-    def _state_answer(self, status: int, ref: str, found: JobLookup) -> Response:
-        return answer(status, self._job_reader.view(ref, found, self._running(ref)))
+    def _state_answer(self, status: int, ref: str, lookup: JobLookup) -> Response:
+        return answer(status, self._job_reader.view(ref, lookup, self._running(ref)))
 
     async def _unaccepted(self, job: Submission) -> str | None:
         """Users name only jobs that were accepted, by any node, in whatever state they are by now."""
@@ -133,11 +133,11 @@
         if not self._replica.ready.done:
             return come_back("starting")
         try:
-            found = await self._job_reader.current(ref)
+            lookup = await self._job_reader.current(ref)
         except (StateUnavailableError, OutcomeUnknownError) as trouble:
             log.debug("event=poll_undecided job=%s error=%s", ref, trouble)
             return come_back("the state service can't be reached")
-        return error(404, "no such job") if found is None else self._state_answer(200, ref, found)
+        return error(404, "no such job") if lookup is None else self._state_answer(200, ref, lookup)
 
     def poll_from_memory(self, ref: str) -> Response | None:
         """Answer a question that needs no reading: a final state that is known here. None: it does need that."""
--- a/badgerroute/rebalancing/moves.py
+++ b/badgerroute/rebalancing/moves.py
@@ -144,12 +144,12 @@
         landings = heapq.nlargest(MAX_LANDINGS, free, key=lambda machine: machine.free.cpus)
         rooms = {machine.name: machine.free.copy() for machine in landings}
         candidates = [machine for machine in self._planner.candidates(job, now) if machine.held_for is None]
-        found = []
+        options = []
         for machine in heapq.nlargest(MAX_CANDIDATES, candidates, key=lambda machine: machine.free.cpus):
             option = self._option(job, machine, rooms, now)
             if option is not None:
-                found.append(option)
-        return found
+                options.append(option)
+        return options
 
     def _option(self, job: Job, machine: Machine, rooms: dict[str, Room], now: timedelta) -> MoveOption | None:
         """The cheapest tasks to move off a machine so that the job fits, each with a place to go to; if there are."""
--- a/badgerroute/rebalancing/waits.py
+++ b/badgerroute/rebalancing/waits.py
@@ -85,7 +85,7 @@
         """The waits as the other controllers are told of them."""
         self._rotate(now)
         pending = self._pending(part, now)
-        found = []
+        snapshot = []
         for key in {**self._previous, **self._current, **pending}:
             histogram = new_histogram()
             for known in (self._previous.get(key), self._current.get(key)):
@@ -95,8 +95,8 @@
             if waiting is not None:
                 histogram.add(waiting.histogram)
             tasks, oldest = (waiting.tasks, waiting.oldest) if waiting is not None else (0, ZERO)
-            found.append(ClassWaits(*key, tasks, oldest.total_seconds(), histogram.encode().decode()))
-        return found
+            snapshot.append(ClassWaits(*key, tasks, oldest.total_seconds(), histogram.encode().decode()))
+        return snapshot
 
     def _pending(self, part: PartView, now: timedelta) -> dict[ClassKey, _Pending]:
         """Tasks that wait for a place. What waits for its team's limit waits for nobody else's work."""
--- a/badgerroute/scheduling/array_placement.py
+++ b/badgerroute/scheduling/array_placement.py
@@ -61,9 +61,9 @@
     def _room_beside(self, machine: Machine) -> list[Machine]:
         """Machines in use with room left. Small tasks go there first, so that whole machines stay free for gangs."""
         return [
-            one
-            for one in self._part.machines.values()
-            if one.placements and one.usable and one.held_for is None and one.zone == machine.zone
+            other
+            for other in self._part.machines.values()
+            if other.placements and other.usable and other.held_for is None and other.zone == machine.zone
         ]
 
     def _fits_beside(self, job: Job, machines: list[Machine], now: timedelta) -> bool:
--- a/badgerroute/scheduling/dependencies.py
+++ b/badgerroute/scheduling/dependencies.py
@@ -41,13 +41,13 @@
         self._after[ref] = 0.0
         self._left[ref] = left = set()
         lost = False
-        for one in needs:
-            known = self._final(one)
-            if one in self.cancelled or (known is not None and known.state is JobState.WITHDRAWN):
+        for predecessor in needs:
+            known = self._final(predecessor)
+            if predecessor in self.cancelled or (known is not None and known.state is JobState.WITHDRAWN):
                 lost = True
             elif known is None:
-                left.add(one)
-                self._dependents.setdefault(one, {})[ref] = None
+                left.add(predecessor)
+                self._dependents.setdefault(predecessor, {})[ref] = None
             else:
                 self._after[ref] = max(self._after[ref], known.reached)
         if lost:
@@ -58,8 +58,8 @@
 
     def remove(self, ref: str) -> None:
         """The job has its own final state, or is gone."""
-        for one in self._needs.pop(ref, ()):
-            self._forget(one, ref)
+        for predecessor in self._needs.pop(ref, ()):
+            self._forget(predecessor, ref)
         self._left.pop(ref, None)
         self._after.pop(ref, None)
         self.cancelled.discard(ref)
@@ -89,14 +89,14 @@
 
     def _cancel_downstream(self, ref: str) -> None:
         """Withdrawn, and all that need it with it. A loop: chains may be long."""
-        found = [ref]
-        while found:
-            one = found.pop()
-            if one in self.cancelled or one not in self._needs:
+        queue = [ref]
+        while queue:
+            current = queue.pop()
+            if current in self.cancelled or current not in self._needs:
                 continue
-            self.cancelled.add(one)
-            found.extend(self._dependents.get(one, ()))
-            self._cancelled(one)
+            self.cancelled.add(current)
+            queue.extend(self._dependents.get(current, ()))
+            self._cancelled(current)
 
     def waits(self, ref: str) -> bool:
         """Whether not all of a job's predecessors are known to be done: until then nothing of it is there to plan."""
@@ -120,17 +120,17 @@
 
     def unknown(self, unfinished: Container[str]) -> list[str]:
         """Predecessors of which we know neither that they are unfinished nor how they ended."""
-        return [one for one in self._dependents if one not in unfinished]
+        return [ref for ref in self._dependents if ref not in unfinished]
 
     def unknown_ancestors(self, ref: str, unfinished: Container[str]) -> Iterator[str]:
         """Those of a job and of all that it waits for."""
-        seen, found = {ref}, [ref]
-        while found:
-            for one in self._left.get(found.pop(), ()):
+        seen, queue = {ref}, [ref]
+        while queue:
+            for one in self._left.get(queue.pop(), ()):
                 if one in seen:
                     continue
                 seen.add(one)
                 if one in unfinished:
-                    found.append(one)
+                    queue.append(one)
                 else:
                     yield one
--- a/badgerroute/scheduling/failures.py
+++ b/badgerroute/scheduling/failures.py
@@ -53,7 +53,7 @@
         """
         if job.failing or job.done | job.done_here:
             return job.failing
-        running = {one.machine.name for one in job.placed.values() if one.running_since is not None}
+        running = {placement.machine.name for placement in job.placed.values() if placement.running_since is not None}
         return len(job.failed_on) >= FAILING_AFTER_MACHINES and len(job.failed_on) > len(running - job.failed_on.keys())
 
     def _only_here(self, machine: Machine) -> int:
--- a/badgerroute/scheduling/feasible.py
+++ b/badgerroute/scheduling/feasible.py
@@ -29,8 +29,8 @@
     """The jobs that can meet their due time of a number, if work that takes `before` comes first."""
     kept: list[tuple[timedelta, str, Load]] = []  # a heap: most work first
     total = before
-    candidates = [one for one in loads if number < len(one.due) and one.least <= one.due[number]]
-    for load in sorted(candidates, key=lambda one: (one.due[number], one.ref)):
+    candidates = [load for load in loads if number < len(load.due) and load.least <= load.due[number]]
+    for load in sorted(candidates, key=lambda candidate: (candidate.due[number], candidate.ref)):
         heapq.heappush(kept, (-load.work, load.ref, load))
         total += load.work / processors
         if total > load.due[number]:
@@ -52,8 +52,8 @@
     found: dict[str, float] = {}
     before = ZERO
     for group in groups:
-        left = {one.ref: one for one in group}
-        for number in range(max((len(one.due) for one in group), default=0)):
+        left = {load.ref: load for load in group}
+        for number in range(max((len(load.due) for load in group), default=0)):
             for load in _in_time(left.values(), number, before, processors):
                 found[load.ref] = number + (0.5 if _can_wait(load, number) else 0.0)
                 before += load.work / processors
--- a/badgerroute/scheduling/gang_placement.py
+++ b/badgerroute/scheduling/gang_placement.py
@@ -123,10 +123,10 @@
         """Machines for all tasks of a gang: nearest image first, then the tightest fit."""
         options = sorted(options, key=lambda one: (*one[:4], one[4].name))
         if not job.spec.together:
-            return self._take(job, tasks, [one[4] for one in options])
-        zones = dict.fromkeys(one[4].zone for one in options)
+            return self._take(job, tasks, [option[4] for option in options])
+        zones = dict.fromkeys(option[4].zone for option in options)
         for zone in zones:
-            chosen = self._take(job, tasks, [one[4] for one in options if one[4].zone == zone])
+            chosen = self._take(job, tasks, [option[4] for option in options if option[4].zone == zone])
             if chosen is not None:
                 return chosen
         return None
@@ -150,21 +150,24 @@
         self, job: Job, tasks: int, chosen: list[Machine], wait: timedelta, now: timedelta
     ) -> bool:
         """Make room on machines that cache the image, where fetching it would come too late and cost no less."""
-        fetch = max((ladder.fetch_time(job, one) for one in chosen if job.spec.image not in one.images), default=ZERO)
+        fetch = max(
+            (ladder.fetch_time(job, machine) for machine in chosen if job.spec.image not in machine.images),
+            default=ZERO,
+        )
         # A gang starts with its last machine, whose fetch is slow; the start goes out in the answer to its next report.
         if fetch == ZERO or wait + self._report + fetch * FETCH_SPREAD <= self._objectives.start_within(job):
             return False
         options = []
         for machine in self._preemption.candidates(job, now):
             if job.spec.image in machine.images and machine.held_for in (None, job.ref):
-                found = self._preemption.clear_out(machine, job, now)
-                if found is not None and found[0] <= job.need.cpus * fetch.total_seconds():
-                    options.append((found[0], machine.name, machine, found[1]))
+                plan = self._preemption.clear_out(machine, job, now)
+                if plan is not None and plan[0] <= job.need.cpus * fetch.total_seconds():
+                    options.append((plan[0], machine.name, machine, plan[1]))
         return self._preemption.clear(job, tasks, options, now)
 
     def unplaceable_gangs(self, now: timedelta) -> list[Job]:
         """Gangs that have waited long and for which no room could be made in this part."""
-        holders = {one.held_for for one in self._part.machines.values()}
+        holders = {machine.held_for for machine in self._part.machines.values()}
         return [
             job
             for job in self._order.jobs
--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -197,9 +197,11 @@
     def fetches(self, gangs_only: bool = False) -> bool:
         """Whether a task here waits for an image that is still to come."""
         return any(
-            one.running_since is None and one.phase in NO_IMAGE_YET and one.job.spec.image not in self.complete
-            for one in self.placements.values()
-            if one.job.gang or not gangs_only
+            placement.running_since is None
+            and placement.phase in NO_IMAGE_YET
+            and placement.job.spec.image not in self.complete
+            for placement in self.placements.values()
+            if placement.job.gang or not gangs_only
         )
 
     def forget_image(self, image: str) -> None:
@@ -208,7 +210,7 @@
         Machines were once taken to cache what they had only begun to fetch, and gangs went there for it in vain.
         """
         if image not in self.complete and image in self.images:
-            if all(one.job.spec.image != image for one in self.placements.values()):
+            if all(placement.job.spec.image != image for placement in self.placements.values()):
                 del self.images[image]
 
 
--- a/badgerroute/scheduling/objectives.py
+++ b/badgerroute/scheduling/objectives.py
@@ -17,17 +17,17 @@
         self._guarantee = PATIENT
         self._finish: dict[str, list[timedelta]] = {}
         self._times: dict[str, list[float]] = {}
-        for one in objectives:
-            if one.kind == "deadline" and one.job_class is not None:
-                self._times.setdefault(one.job_class, []).append(one.times or 1.0)
-            if one.within_s is None:
+        for objective in objectives:
+            if objective.kind == "deadline" and objective.job_class is not None:
+                self._times.setdefault(objective.job_class, []).append(objective.times or 1.0)
+            if objective.within_s is None:
                 continue
-            within = timedelta(seconds=one.within_s)
-            if one.kind == "wait" and one.job_class is not None:
-                self._wait[one.job_class] = min(within, self._wait.get(one.job_class, within))
-            elif one.kind == "finished" and one.job_class is not None:
-                self._finish.setdefault(one.job_class, []).append(within)
-            elif one.kind == "guarantee":
+            within = timedelta(seconds=objective.within_s)
+            if objective.kind == "wait" and objective.job_class is not None:
+                self._wait[objective.job_class] = min(within, self._wait.get(objective.job_class, within))
+            elif objective.kind == "finished" and objective.job_class is not None:
+                self._finish.setdefault(objective.job_class, []).append(within)
+            elif objective.kind == "guarantee":
                 self._guarantee = min(self._guarantee, within)
 
     def start_within(self, job: Job) -> timedelta:
@@ -57,7 +57,7 @@
     def missed(self, job: Job, now: timedelta, run: timedelta) -> int:
         """How many of the times by which the job should be complete can't be met any more."""
         late = job.start_by is not None and now > job.start_by
-        return late + sum(now - job.accepted + run > one for one in self.due(job.spec, job.held_back))
+        return late + sum(now - job.accepted + run > due for due in self.due(job.spec, job.held_back))
 
     @property
     def tightest(self) -> timedelta:
--- a/badgerroute/scheduling/part.py
+++ b/badgerroute/scheduling/part.py
@@ -308,18 +308,18 @@
 
     def commands(self, machine: Machine, now: timedelta, starts: bool) -> list[Command]:
         """What a machine is to do. Starts go out once and only in the answer to a report (`starts`)."""
-        found: list[Command] = []
+        commands: list[Command] = []
         for ref, index, attempt in machine.strays:
-            found.append(Command("halt", f"{ref}/{index}", attempt, 0.0))
+            commands.append(Command("halt", f"{ref}/{index}", attempt, 0.0))
         for ref, index, attempt in machine.exited:
             # Not by a direct command: carried out late, it would clear the end of a task that was started again.
             if starts and self._clearable(ref, index):
-                found.append(Command("clear", f"{ref}/{index}", attempt))
+                commands.append(Command("clear", f"{ref}/{index}", attempt))
         for placement in machine.placements.values():
             if placement.grace is not None:
                 if placement.halted_at is None:
                     placement.halted_at = now
-                found.append(
+                commands.append(
                     Command(
                         "halt",
                         f"{placement.job.ref}/{placement.index}",
@@ -334,8 +334,8 @@
                 if not placement.rejoined:
                     placement.since = now
                 machine.touch_image(placement.job.spec.image, placement.job.spec.image_gb)
-                found.append(Command("start", f"{placement.job.ref}/{placement.index}", placement.attempt))
-        return found
+                commands.append(Command("start", f"{placement.job.ref}/{placement.index}", placement.attempt))
+        return commands
 
     def _clearable(self, ref: str, index: int) -> bool:
         """A done task is cleared only once that is durable: until then the machine is the only witness."""
@@ -382,4 +382,6 @@
 
     def unsettled(self) -> list[Machine]:
         """Machines of which it is not certain what runs on them, or that run what can't be counted."""
-        return [one for one in self.machines.values() if not one.fenced or one.strays or one.undecided]
+        return [
+            machine for machine in self.machines.values() if not machine.fenced or machine.strays or machine.undecided
+        ]
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -119,11 +119,11 @@
 
     def shapes(self, now: timedelta) -> list[Shape]:
         """The waiting tasks by job."""
-        found = []
+        shapes = []
         for job in self.part.jobs.values():
             count = job.startable
             if count and job.blocked_until <= now:
-                found.append(
+                shapes.append(
                     Shape(
                         job.ref,
                         job.spec.team,
@@ -136,7 +136,7 @@
                         job,
                     )
                 )
-        return found
+        return shapes
 
     def freeing(self, now: timedelta) -> float:
         """Processors of array tasks that should end before a new machine could boot and fetch an image."""
--- a/badgerroute/scheduling/preemption.py
+++ b/badgerroute/scheduling/preemption.py
@@ -107,9 +107,9 @@
         for machine in self.candidates(job, now):
             if machine.held_for not in (None, job.ref):
                 continue
-            found = self.clear_out(machine, job, now)
-            if found is not None:
-                options.append((found[0], machine.name, machine, found[1]))
+            plan = self.clear_out(machine, job, now)
+            if plan is not None:
+                options.append((plan[0], machine.name, machine, plan[1]))
         self.clear(job, tasks, options, now)
 
     def clear(
@@ -192,10 +192,10 @@
         options = []
         for machine in self.candidates(job, now):
             if machine.held_for is None:
-                found = self.clear_out(machine, job, now)
-                if found is not None and found[1]:
+                plan = self.clear_out(machine, job, now)
+                if plan is not None and plan[1]:
                     uncached = ladder.rung_of(job, machine, self._order.images) is not ladder.Rung.CACHED
-                    options.append((uncached, found[0], machine.name, machine, found[1]))
+                    options.append((uncached, plan[0], machine.name, machine, plan[1]))
         options.sort(key=lambda one: one[:3])
         for _, _, _, machine, victims in options[:wanted]:
             machine.held_for = job.ref
@@ -218,11 +218,11 @@
 
     def room_without(self, level: int) -> list[tuple[Machine, Room]]:
         """What each machine could offer a job of a level: its free room and that of work which may be stopped."""
-        found = []
+        machines = []
         for machine in self._part.machines.values():
             if machine.usable and machine.held_for is None:
-                found.append((machine, self.room_below(machine, level)))
-        return found
+                machines.append((machine, self.room_below(machine, level)))
+        return machines
 
     def room_beside_images(self, level: int, most: int) -> dict[str, list[float]]:
         """For each image, the processors that machines which cache it could offer a job of a level, most first."""
--- a/badgerroute/scheduling/reports.py
+++ b/badgerroute/scheduling/reports.py
@@ -178,7 +178,7 @@
         machine, image = placement.machine, placement.job.spec.image
         if image in machine.complete or not placement.timed:
             return
-        asked = [one.since for one in machine.placements.values() if one.job.spec.image == image]
+        asked = [placement.since for placement in machine.placements.values() if placement.job.spec.image == image]
         self._part.image_fetched(placement, now - min(asked))
 
     def _adopt(self, message: Message, ref: str, index: int, task: TaskReport) -> Placement | None:
@@ -251,7 +251,7 @@
             and placement.rejoined < MAX_REJOINS
             and placement.machine.usable
             and placement.attempt == job.gang_attempt
-            and not any(one.stopping or one.running_since is not None for one in job.placed.values())
+            and not any(placement.stopping or placement.running_since is not None for placement in job.placed.values())
         )
 
     def _finished(self, message: Message, job: Job, index: int, placement: Placement | None) -> None:
--- a/badgerroute/storage/cloud.py
+++ b/badgerroute/storage/cloud.py
@@ -78,12 +78,12 @@
 
     async def machines(self) -> list[wire.ListedMachine]:
         """All machines, as the cloud's list, which lags, has them."""
-        found: list[wire.ListedMachine] = []
+        machines: list[wire.ListedMachine] = []
         since = ""
         while True:
             target = f"/rentals?limit={PAGE}" + (f"&since={since}" if since else "")
             page = self._decoded(await self._call("GET", target, b"", Urgency.READ), wire.list_decoder)
-            found.extend(page.machines)
+            machines.extend(page.machines)
             if not page.more or not page.machines:
-                return found
+                return machines
             since = page.machines[-1].name
--- a/badgerroute/storage/replica.py
+++ b/badgerroute/storage/replica.py
@@ -211,7 +211,7 @@
                 delay = min(2 * delay, timedelta(seconds=1))
                 continue
             delay = PAUSE
-            for change in sorted(changes.changes, key=lambda one: one.revision):
+            for change in sorted(changes.changes, key=lambda change: change.revision):
                 if isinstance(change.put, str):
                     self._apply(change.put, bytes(change.value), change.revision)
                 elif isinstance(change.removed, str):
