--- a/badgerroute/coordination/parts/owner.py
+++ b/badgerroute/coordination/parts/owner.py
@@ -1,7 +1,6 @@
 """One owned part at work: taking it over, its members, its reports, its rounds of decisions."""
 
 import logging
-from collections import Counter
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -16,13 +15,14 @@
 from badgerroute.coordination.parts.machine_loans import MachineLoans
 from badgerroute.coordination.parts.member_registry import MemberRegistry
 from badgerroute.coordination.parts.migration import WorkMigration
-from badgerroute.coordination.parts.processor_use import processor_use
+from badgerroute.coordination.parts.part_log import log_state
 from badgerroute.coordination.parts.services import Services
 from badgerroute.coordination.parts.share_exchange import ShareExchange
+from badgerroute.coordination.parts.urgent_halts import UrgentHalts
 from badgerroute.protocol import mesh as mesh_wire
 from badgerroute.protocol.workers import Report, ReportAnswer
 from badgerroute.scheduling import draining
-from badgerroute.scheduling.model import ZERO, Machine, Phase
+from badgerroute.scheduling.model import ZERO, Machine
 from badgerroute.scheduling.objectives import Objectives
 from badgerroute.scheduling.part import Part
 from badgerroute.scheduling.planner import Planner
@@ -40,7 +40,6 @@
 SUMMARY_KEPT = timedelta(milliseconds=400)
 SUMMARY_KEPT_PER_MACHINE = timedelta(microseconds=500)  # it looks at each: 4,000 take some 30 ms of a core
 REGISTER_LIMIT = timedelta(seconds=1)
-MAX_DIRECT_CANCELLATIONS = 16  # machines that are told of withdrawn jobs in one round; the others hear by their reports
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +78,7 @@
         self._window = records.window(services.state.max_value_bytes)
         self.commands = MachineCommands(self.part, services, self._answered_directly)
         self._fencing = Fencing(self.part, services, self.group, self.commands)
+        self._urgent_halts = UrgentHalts(self.part, self._loop, self.group, self.commands)
         self.member_registry = MemberRegistry(services, self.group)
         self.migration = WorkMigration(
             self.part, self.planner, services, self.group, lambda: self.ready, self.job_changed
@@ -262,29 +262,14 @@
                 if not over():
                     self.planner.make_room_for_arrays(now, over)
             self.planner.feedback(now)
-            await self._urgent_halts()
+            self._urgent_halts.send()
             if self._permits.allows_for(self.number, Action.MOVE_SHARE):
                 await self.shares.seek()
 
     async def _log_state(self) -> None:
-        """Where the part stands, for people on call."""
         while True:
             await self._loop.sleep(STATE_LOGGED)
-            machines = list(self.part.machines.values())
-            phases = Counter(placement.phase.value for machine in machines for placement in machine.placements.values())
-            log.info(
-                "event=part_state part=%d machines=%d unusable=%d empty=%d held=%d free=%.0f jobs=%d wanting=%d %s",
-                self.number,
-                len(machines),
-                sum(not machine.usable for machine in machines),
-                sum(machine.empty for machine in machines),
-                sum(machine.held_for is not None for machine in machines),
-                sum(machine.free.cpus for machine in machines),
-                len(self.part.jobs),
-                sum(job.waiting_bits.bit_count() for job in self.part.jobs.values()),
-                " ".join(f"{phase}={count}" for phase, count in sorted(phases.items())),
-            )
-            log.info("event=part_processors part=%d %s", self.number, processor_use(self.part))
+            log_state(self.part)
 
     def _expire(self, now: timedelta) -> None:
         lost = self.part.expire(now, self._claims.proved, self._settings.machine_lease, self.grace)
@@ -310,31 +295,6 @@
                 plan = draining.Evacuation(machine.notice, 2 * self._settings.params.workers.report, patient=False)
                 draining.evacuate(self.part, machine, plan, now, self.planner.run_time, self.part.guidance.fetch_time)
 
-    async def _urgent_halts(self) -> None:
-        """Don't wait for reports to carry what is in a hurry.
-
-        A gang's tasks must hear of their stop close together. And no task of a withdrawn job should begin once its user
-        was told: those that still fetch their image come first, and the others are of no use to anybody.
-        """
-        gangs: dict[Machine, None] = {}
-        withdrawn: dict[Machine, bool] = {}  # whether a task of one has begun on all such tasks there
-        for job in self.part.jobs.values():
-            if not job.gang and job.owned:
-                continue
-            for placement in job.placed.values():
-                if placement.stopping and placement.halted_at is None and placement.phase is not Phase.SENT:
-                    if job.gang:
-                        gangs[placement.machine] = None
-                    else:
-                        begun = placement.running_since is not None
-                        withdrawn[placement.machine] = begun and withdrawn.get(placement.machine, True)
-        direct = [
-            machine for machine in sorted(withdrawn, key=lambda machine: withdrawn[machine]) if machine not in gangs
-        ]
-        for machine in (*gangs, *direct[:MAX_DIRECT_CANCELLATIONS]):
-            commands = self.part.commands(machine, self._loop.now(), starts=False)
-            self.group.spawn(self.commands.send(machine, commands, urgent=True), "halt")
-
     # -- what others are told
 
     def idle_capacities(self) -> tuple[list[mesh_wire.FreeCapacity], dict[str, tuple[float, float]]]:
