A new owner whose machines have yet to come is not unheard; mode changes tested by their log lines

Cause: the first report of a busy machine is relayed, and for some seconds after a takeover all come that way. The new owner took that for lost workers: it lent nothing and asked nobody for work until one machine had answered it.

Change: silence counts from a machine's last report that came here itself; one that has not reported in this term has 5 s more, in which it leaves its former owner.

--- a/badgerroute/connectivity/worker_silence.py
+++ b/badgerroute/connectivity/worker_silence.py
@@ -8,17 +8,19 @@
 MIN_MACHINES = 3  # fewer silent machines say more of themselves than of us
 REPORT_SLACK = 1.5  # times the interval between two reports, which varies by a quarter
 REPORT_DELAY = timedelta(seconds=1)  # for the way of a report
+LEAVING = timedelta(seconds=5)  # in which a worker gives its former owner up: 4 s without an answer, and 1 s of rest
 
 
 def overdue(machine: Machine, part: PartView, report: timedelta, awake_since: timedelta, now: timedelta) -> bool:
-    """Whether a report of a member should have come here by now, if it did not come through a sibling.
+    """Whether a report of a member should have come here by now; one that came through a sibling does not count.
 
     `awake_since`: the end of our own last standstill, before which nothing could be heard.
     """
-    if machine.relayed:
-        return True
-    heard = max(machine.heard or max(machine.joined, part.claimed_at), awake_since)
-    return now - heard > report * REPORT_SLACK + REPORT_DELAY
+    if machine.reported is None:
+        last = max(machine.joined, part.claimed_at) + LEAVING
+    else:
+        last = machine.reported
+    return now - max(last, awake_since) > report * REPORT_SLACK + REPORT_DELAY
 
 
 def silent(part: PartView, report: timedelta, awake_since: timedelta, now: timedelta) -> int:
--- a/badgerroute/coordination/parts/owner.py
+++ b/badgerroute/coordination/parts/owner.py
@@ -183,8 +183,8 @@
         fresh = self.apply_report(machine, report, checkin=True)
         now = self._loop.now()
         starts = fresh and self._permits.allows_for(self.number, Action.START)
-        if fresh:
-            machine.relayed = relayed
+        if fresh and not relayed:
+            machine.reported = now
         if starts:
             deadline = now + self._settings.operator.scheduling.round
 
--- a/tests/test_connectivity_days.py
+++ b/tests/test_connectivity_days.py
@@ -1,5 +1,6 @@
 """Half-open cuts in virtual time: several controllers lose links, and every run ends with one final answer."""
 
+import logging
 from collections.abc import Callable, Iterator
 from datetime import timedelta
 
@@ -383,6 +384,26 @@
     assert day.finish(300) == [] and day.rules.broken == []
 
 
+@pytest.mark.parametrize("seed", [*SEEDS, 3])
+@pytest.mark.parametrize("fault", ["refused", "crashed", "frozen"])
+def test_a_new_owner_whose_machines_have_yet_to_come_is_not_unheard(fault: str, seed: int) -> None:
+    """They report to the former owner, or are relayed by it, for some seconds after a takeover."""
+    day = cluster(seed)
+    host = pick(day)
+
+    def lose(day: Day) -> None:
+        if fault == "refused":
+            hold(day, from_state(day, [host], "refuse"), 14)
+        elif fault == "crashed":
+            day.restart(host, 14 * SECOND)
+        else:
+            day.loop.freeze(host, 14)
+        day.run(22)
+
+    counts = play(day, lose)
+    assert [one for one in others(host) if "unheard" in counts.modes[one]] == []
+
+
 # -- What docs/safety.md says of relays, sentence by sentence
 
 
@@ -574,6 +595,24 @@
     assert day.finish(300) == [] and day.rules.broken == []
 
 
+def test_each_change_of_mode_has_a_line_with_its_cause(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO, logger="badgerroute.connectivity")
+    day = cluster(9)
+    hold(day, from_workers(day, HOSTS[:1], "reset"), 8)
+    hold(day, from_state(day, HOSTS[:1], "refuse"), 8)
+    day.loop.freeze(HOSTS[2], 3)
+    day.run(30)
+    lines = [record.getMessage() for record in caplog.records if record.name == "badgerroute.connectivity"]
+    told = [line for line in lines if "mode_changed" in line and f"host={HOSTS[0]} " in line]
+    assert [line.split()[2:5] for line in told][:3] == [
+        ["from=serving", "to=unheard", "cause=workers_report_to_siblings"],
+        ["from=unheard", "to=recovering", "cause=links_are_back"],
+        ["from=recovering", "to=unrecorded", "cause=state_service_silent"],
+    ]
+    assert told[-1].split()[3:5] == ["to=serving", "cause=links_are_good"]
+    assert any("stood_still" in line and f"host={HOSTS[2]} " in line for line in lines)
+
+
 # -- The checker itself
 
 
