Structure: mesh messages and deleted names in modules of their own; collaborators by keyword

Need: `controller.py` built some twenty collaborators by position and handled every message itself.

Behaviour as before.

--- a/badgerroute/coordination/controller.py
+++ b/badgerroute/coordination/controller.py
@@ -7,6 +7,7 @@
 
 from badgerroute.connectivity.modes import Action, Permission
 from badgerroute.coordination.fleet.catalog import MachineCatalog
+from badgerroute.coordination.fleet.deleted_names import DeletedNames
 from badgerroute.coordination.fleet.idle_machines import IdleMachines
 from badgerroute.coordination.fleet.rentals import Fleet
 from badgerroute.coordination.jobs.cancellation_broadcast import CancellationBroadcast
@@ -28,6 +29,7 @@
 from badgerroute.coordination.parts.services import Services
 from badgerroute.coordination.quotas.team_quotas import TeamQuotas
 from badgerroute.coordination.requests.http_api import HttpApi
+from badgerroute.coordination.requests.mesh_messages import MeshMessages
 from badgerroute.coordination.requests.part_requests import PartRequests
 from badgerroute.coordination.requests.report_desk import ReportDesk
 from badgerroute.coordination.requests.user_desk import UserDesk
@@ -47,7 +49,6 @@
 log = logging.getLogger("badgerroute.controller")
 GOSSIP = timedelta(milliseconds=500)
 SLICE_PAUSE = timedelta(milliseconds=25)  # between two slices of what takes more than a round
-DELETED_REMEMBERED_PER_MACHINE = 2  # names of deleted machines that are kept, for each that there may be
 RESERVED_SOCKETS = 48  # for the state service, the cloud and the mesh
 MAX_DIRECT_COMMANDS = 128  # commands on their way to workers, each with a connection of its own
 SOCKETS_PER_DIRECT_COMMAND = 32  # where there are sockets for thousands of machines, more go out at once
@@ -69,7 +70,7 @@
         self.state = StateClient(loop, network, settings.platform.endpoints.state, params.state, params.size)
         self.cloud = CloudClient(loop, network, settings.platform.endpoints.cloud, params.cloud, params.size)
         self.replica = Replica(loop, self.state)
-        self.mesh = Mesh(settings, loop, network, group, self._on_message)
+        self.mesh = Mesh(settings, loop, network, group, lambda message: self.messages.receive(message))
         self.claims = Claims(settings, loop, self.state, self.replica, self._won, self._lost, self._claim_permission)
         self.permits = ActionGate(self.claims, lambda: self.monitor.mode)
         hosts = [sibling.host_name for sibling in settings.platform.siblings]
@@ -81,27 +82,41 @@
         self.owners: dict[int, Owner] = {}
         self.siblings = Siblings(settings, loop, self.claims, self.owners)
         self.monitor = ConnectivityMonitor(
-            settings,
-            loop,
-            network,
-            self.replica,
-            self.claims,
-            self.siblings,
-            self.owners,
-            random.Random(settings.platform.host_name).sample,
+            settings=settings,
+            loop=loop,
+            network=network,
+            replica=self.replica,
+            claims=self.claims,
+            siblings=self.siblings,
+            owners=self.owners,
+            sample=random.Random(settings.platform.host_name).sample,
         )
         self.forwarder = RequestForwarder(
-            loop,
-            group,
-            settings.platform.host_name,
-            settings.operator.connectivity.relays_at_once,
-            random.SystemRandom().randrange(FIRST_NUMBERS),
-            self.mesh.send,
-            lambda request, relay: self.api.handle_forwarded(request, relay),
+            loop=loop,
+            group=group,
+            host=settings.platform.host_name,
+            most=settings.operator.connectivity.relays_at_once,
+            first_number=random.SystemRandom().randrange(FIRST_NUMBERS),
+            send=self.mesh.send,
+            handle=lambda request, relay: self.api.handle_forwarded(request, relay),
+        )
+        self.requests = PartRequests(
+            loop=loop,
+            group=group,
+            claims=self.claims,
+            permits=self.permits,
+            siblings=self.siblings,
+            mesh=self.mesh,
+            owners=self.owners,
         )
-        self.requests = PartRequests(loop, group, self.claims, self.permits, self.siblings, self.mesh, self.owners)
         self.hand_over = PartHandOver(
-            settings, loop, self.claims, self.permits, self.siblings, self.monitor, self.owners
+            settings=settings,
+            loop=loop,
+            claims=self.claims,
+            permits=self.permits,
+            siblings=self.siblings,
+            monitor=self.monitor,
+            owners=self.owners,
         )
         self.job_store = JobStore(self.replica, self._push, self._notify_owners, self.cancellation_broadcast.learned)
         self.job_reader = JobReader(loop, self.state, self.replica, self.job_store)
@@ -109,26 +124,26 @@
         self.job_writer = JobWriter(loop, self.state, self.replica, self.job_store, self.job_reader, self.pager)
         self.quotas = TeamQuotas(settings, loop, self.state, self.replica, self._push, self._condition)
         self.pipelines = Pipelines(
-            loop,
-            self.state,
-            self.replica,
-            self.job_store,
-            self.job_reader,
-            lambda part: part in self.claims.parts,
-            lambda: self.claims.fleet is not None and self.permits.allows(Action.CLEAN_UP),
-            settings.home,
+            loop=loop,
+            state=self.state,
+            replica=self.replica,
+            job_store=self.job_store,
+            job_reader=self.job_reader,
+            owned=lambda part: part in self.claims.parts,
+            tidies=lambda: self.claims.fleet is not None and self.permits.allows(Action.CLEAN_UP),
+            turn=settings.home,
         )
         self.fleet = Fleet(
-            settings,
-            loop,
-            group,
-            self.cloud,
-            self.claims,
-            self.permits,
-            self.replica,
-            self.catalog,
-            self.siblings.summaries,
-            self._machines_deleted,
+            settings=settings,
+            loop=loop,
+            group=group,
+            cloud=self.cloud,
+            claims=self.claims,
+            permits=self.permits,
+            replica=self.replica,
+            catalog=self.catalog,
+            summaries=self.siblings.summaries,
+            deleted=self._machines_deleted,
         )
         self.forecast = JobForecast(
             settings, loop, self.job_store, self.replica, self.catalog, self.owners, self.siblings.summaries
@@ -140,30 +155,50 @@
             settings, loop, self.permits, self.job_store, self.catalog, self.owners, self.fleet.delete
         )
         self.users = Users(
-            params,
-            self.job_store,
-            self.job_reader,
-            self.job_writer,
-            self.pager,
-            self.replica,
-            self.catalog,
-            self.siblings.summaries,
-            self.siblings.running,
+            params=params,
+            job_store=self.job_store,
+            job_reader=self.job_reader,
+            job_writer=self.job_writer,
+            pager=self.pager,
+            replica=self.replica,
+            catalog=self.catalog,
+            summaries=self.siblings.summaries,
+            running=self.siblings.running,
         )
-        self._deleted: dict[str, None] = {}  # machines that were deleted, oldest first
+        self.deleted = DeletedNames(settings.operator.fleet.most_machines)
         self.report_desk = ReportDesk(
-            settings,
-            loop,
-            self.replica,
-            self.permits,
-            self.owners,
-            self.siblings,
-            self.mesh,
-            self.monitor,
-            self.forwarder,
-            lambda name: name in self._deleted,
+            settings=settings,
+            loop=loop,
+            replica=self.replica,
+            permits=self.permits,
+            owners=self.owners,
+            siblings=self.siblings,
+            mesh=self.mesh,
+            monitor=self.monitor,
+            forwarder=self.forwarder,
+            deleted=self.deleted,
+        )
+        self.messages = MeshMessages(
+            settings=settings,
+            group=group,
+            replica=self.replica,
+            claims=self.claims,
+            siblings=self.siblings,
+            requests=self.requests,
+            hand_over=self.hand_over,
+            forwarder=self.forwarder,
+            job_store=self.job_store,
+            cancellation_broadcast=self.cancellation_broadcast,
+            mesh=self.mesh,
+        )
+        user_desk = UserDesk(
+            settings=settings,
+            permits=self.permits,
+            state=self.state,
+            siblings=self.siblings,
+            users=self.users,
+            forwarder=self.forwarder,
         )
-        user_desk = UserDesk(settings, self.permits, self.state, self.siblings, self.users, self.forwarder)
         self.api = HttpApi(self.replica, self.monitor, self.report_desk, user_desk)
         sockets = params.resources.fd_limit
         direct = min(max(MAX_DIRECT_COMMANDS, sockets // SOCKETS_PER_DIRECT_COMMAND), max(4, sockets // 8))
@@ -265,16 +300,10 @@
 
     def _deleted_changed(self, key: str, value: bytes | None, revision: int) -> None:
         if value is not None:
-            self._remember_deleted(records.read(value, records.DeletedMachinesRecord).names)
-
-    def _remember_deleted(self, names: list[str]) -> None:
-        self._deleted.update(dict.fromkeys(names))
-        most = DELETED_REMEMBERED_PER_MACHINE * self.settings.operator.fleet.most_machines
-        while len(self._deleted) > most:  # copies come minutes late, not weeks
-            del self._deleted[next(iter(self._deleted))]
+            self.deleted.add(records.read(value, records.DeletedMachinesRecord).names)
 
     def _machines_deleted(self, names: list[str]) -> None:
-        self._remember_deleted(names)
+        self.deleted.add(names)
         members = {name for owner in self.owners.values() for name in owner.part.machines}
         for number, owner in enumerate(list(self.owners.values())):
             # One that never was a member is remembered by any of our parts.
@@ -335,46 +364,3 @@
 
     def _push(self, key: str, value: bytes | None, revision: int) -> None:
         self.mesh.broadcast(mesh_wire.Push(key, revision, value))
-
-    def _on_message(self, message: mesh_wire.Message) -> None:
-        match message:
-            case mesh_wire.Gossip():
-                self._on_gossip(message)
-            case mesh_wire.Push():
-                self._on_push(message)
-            case mesh_wire.StealRequest():
-                self.requests.on_steal(message)
-            case mesh_wire.ShareRequest():
-                self.requests.give_share(message)
-            case mesh_wire.MachineLoanRequest():
-                self.requests.lend(message)
-            case mesh_wire.MisdirectedReport():
-                self._group.spawn(self.hand_over.on_misdirected_report(message), "misdirected")
-            case mesh_wire.ForwardedRequest():
-                self.forwarder.on_request(message)
-            case mesh_wire.ForwardedResponse():
-                self.forwarder.on_response(message)
-            case mesh_wire.CancellationNotice():
-                self._on_withdrawn(message)
-            case mesh_wire.CancellationAck():
-                self.cancellation_broadcast.known_to(message.host, message.refs)
-
-    def _on_gossip(self, message: mesh_wire.Gossip) -> None:
-        self.siblings.hear(message)
-        for summary in message.parts:
-            self.claims.outranked(summary.part, summary.term)
-
-    def _on_push(self, message: mesh_wire.Push) -> None:
-        if self.replica.ready.done:
-            self.replica.learn(message.key, message.value, message.revision)
-
-    def _on_withdrawn(self, message: mesh_wire.CancellationNotice) -> None:
-        """Act on it in this very step, though the state service may not answer us; then say that we have heard."""
-        refs = [ref for ref, _ in message.jobs]
-        self.cancellation_broadcast.known_to(message.host, refs)
-        if not self.replica.ready.done:
-            return  # not acknowledged, so it comes again
-        for ref, revision in message.jobs:
-            self.job_store.learn_cancelled(ref, revision)
-        self.cancellation_broadcast.known_to(message.host, refs)
-        self.mesh.send(message.host, mesh_wire.CancellationAck(self.settings.platform.host_name, refs))
--- /dev/null
+++ b/badgerroute/coordination/requests/mesh_messages.py
@@ -0,0 +1,82 @@
+"""What other controllers say, and who is told of it."""
+
+from badgerroute.coordination.jobs.cancellation_broadcast import CancellationBroadcast
+from badgerroute.coordination.jobs.job_store import JobStore
+from badgerroute.coordination.membership.forwarding import RequestForwarder
+from badgerroute.coordination.membership.mesh import Mesh
+from badgerroute.coordination.membership.part_hand_over import PartHandOver
+from badgerroute.coordination.membership.siblings import Siblings
+from badgerroute.coordination.ownership.claims import Claims
+from badgerroute.coordination.requests.part_requests import PartRequests
+from badgerroute.protocol import mesh as wire
+from badgerroute.settings import Settings
+from badgerroute.storage.replica import Replica
+from badgerroute.transport.loop import Group
+
+
+class MeshMessages:
+    """Each message is handled in one step, or handed to a routine of its own."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        group: Group,
+        replica: Replica,
+        claims: Claims,
+        siblings: Siblings,
+        requests: PartRequests,
+        hand_over: PartHandOver,
+        forwarder: RequestForwarder,
+        job_store: JobStore,
+        cancellation_broadcast: CancellationBroadcast,
+        mesh: Mesh,
+    ) -> None:
+        self._host, self._group, self._mesh = settings.platform.host_name, group, mesh
+        self._replica, self._claims, self._siblings = replica, claims, siblings
+        self._requests, self._hand_over, self._forwarder = requests, hand_over, forwarder
+        self._job_store, self._cancellation_broadcast = job_store, cancellation_broadcast
+
+    def receive(self, message: wire.Message) -> None:
+        """Take in one message."""
+        match message:
+            case wire.Gossip():
+                self._on_gossip(message)
+            case wire.Push():
+                self._on_push(message)
+            case wire.StealRequest():
+                self._requests.on_steal(message)
+            case wire.ShareRequest():
+                self._requests.give_share(message)
+            case wire.MachineLoanRequest():
+                self._requests.lend(message)
+            case wire.MisdirectedReport():
+                self._group.spawn(self._hand_over.on_misdirected_report(message), "misdirected")
+            case wire.ForwardedRequest():
+                self._forwarder.on_request(message)
+            case wire.ForwardedResponse():
+                self._forwarder.on_response(message)
+            case wire.CancellationNotice():
+                self._on_cancellation(message)
+            case wire.CancellationAck():
+                self._cancellation_broadcast.known_to(message.host, message.refs)
+
+    def _on_gossip(self, message: wire.Gossip) -> None:
+        self._siblings.hear(message)
+        for summary in message.parts:
+            self._claims.outranked(summary.part, summary.term)
+
+    def _on_push(self, message: wire.Push) -> None:
+        if self._replica.ready.done:
+            self._replica.learn(message.key, message.value, message.revision)
+
+    def _on_cancellation(self, message: wire.CancellationNotice) -> None:
+        """Act on it in this very step, though the state service may not answer us; then say that we have heard."""
+        refs = [ref for ref, _ in message.jobs]
+        self._cancellation_broadcast.known_to(message.host, refs)
+        if not self._replica.ready.done:
+            return  # not acknowledged, so it comes again
+        for ref, revision in message.jobs:
+            self._job_store.learn_cancelled(ref, revision)
+        self._cancellation_broadcast.known_to(message.host, refs)
+        self._mesh.send(message.host, wire.CancellationAck(self._host, refs))
--- a/badgerroute/coordination/requests/report_desk.py
+++ b/badgerroute/coordination/requests/report_desk.py
@@ -1,11 +1,11 @@
 """Reports of workers: answered for machines of our parts, relayed or redirected for those of others."""
 
 import zlib
-from collections.abc import Callable
 from datetime import timedelta
 
 from badgerroute.connectivity.modes import Action, Mode
 from badgerroute.connectivity.relay_routes import RelayRoutes, Route
+from badgerroute.coordination.fleet.deleted_names import DeletedNames
 from badgerroute.coordination.membership.connectivity_monitor import ConnectivityMonitor
 from badgerroute.coordination.membership.forwarding import RequestForwarder
 from badgerroute.coordination.membership.mesh import Mesh
@@ -27,7 +27,7 @@
 
 
 class ReportDesk:
-    """`is_deleted` tells of machines whose reports can only be late copies."""
+    """`deleted` has the machines whose reports can only be late copies."""
 
     def __init__(
         self,
@@ -40,12 +40,12 @@
         mesh: Mesh,
         monitor: ConnectivityMonitor,
         forwarder: RequestForwarder,
-        is_deleted: Callable[[str], bool],
+        deleted: DeletedNames,
     ) -> None:
         self._settings, self._loop, self._replica, self._permits = settings, loop, replica, permits
         self._owners, self._siblings, self._mesh = owners, siblings, mesh
         self._monitor, self._worker_link, self._forwarder = monitor, monitor.worker_link, forwarder
-        self._is_deleted = is_deleted
+        self._deleted = deleted
         self._host = settings.platform.host_name
         self._relays = settings.operator.connectivity.relay
         self.routes = RelayRoutes()
@@ -59,7 +59,7 @@
             return error(400, str(problem))
         if relay is None and not self._owners:
             self._worker_link.reached(self._loop.now())
-        if self._is_deleted(report.machine):
+        if report.machine in self._deleted:
             return come_back("this machine was deleted")  # a late copy, whatever it says
         part = self._part_of(report.machine)
         owner = self._owners.get(part)
