--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -28,11 +28,20 @@
     """The case could not run, for example because a step before the disruption did not happen."""
 
 
+HELD_PORTS: list[socket.socket] = []
+
+
 def free_address() -> str:
-    """Return a loopback address with a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a loopback address with a free port.
+
+    A socket that does not listen holds the port until the end of the run, so that no other program is given it before a
+    controller listens there, or while a controller is away.
+    """
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    HELD_PORTS.append(sock)
+    return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
 def toml_value(value: Any) -> str:
