--- a/review/1/case.py
+++ b/review/1/case.py
@@ -39,7 +39,8 @@
     await cluster.cloud.add(*BIG, number=1, boot_s=0.3)
     await cluster.cloud.add(*LITTLE, number=6, boot_s=0.3)
     cluster.start("drover-0")  # first, so that its term is lower than those of the others
-    await asyncio.sleep(1.5)
+    await cluster.wait(lambda: cluster.is_up("drover-0"), 10, "drover-0 is not up")
+    await asyncio.sleep(0.3)
     cluster.start("drover-1")
     cluster.start("drover-2")
     await cluster.until_up()
--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -6,8 +6,8 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
+import threading
 import time
 import tomllib
 from collections.abc import Awaitable, Callable
@@ -146,9 +146,10 @@
     async def until_up(self, limit: float = 20.0) -> None:
         """Wait until every controller can take requests."""
         for host in HOSTS:
-            await self.wait(lambda host=host: self._is_up(host), limit, f"{host} is not up")
+            await self.wait(lambda host=host: self.is_up(host), limit, f"{host} is not up")
 
-    async def _is_up(self, host: str) -> bool:
+    async def is_up(self, host: str) -> bool:
+        """Return whether a controller can take requests."""
         answer = await ask(self.nodes[host], "GET", "/up", limit=1)
         return answer is not None and answer[0] == 200
 
@@ -172,8 +173,6 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 process.wait()
-        for running in self._background:
-            running.cancel()
         if os.environ.get("KEEP_LOGS"):
             for host in HOSTS:
                 log = Path(self._folder.name) / f"{host}.log"
@@ -242,20 +241,28 @@
 def main(cluster: Cluster, play: Callable[[bool], Awaitable[bool]]) -> None:
     """Play a case with or without its disruption, and exit with its verdict.
 
-    `play` gets whether the disruption is to happen and returns whether the rule held.
+    `play` gets whether the disruption is to happen and returns whether the rule held. The process ends as soon as the
+    controllers have been ended, without waiting for the tasks of the stand-ins.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
-
-    async def run() -> bool:
-        await cluster.open()
-        return await asyncio.wait_for(play(trouble), LONGEST_S)
-
-    verdict = NOT_RUN
-    try:
-        verdict = HELD if asyncio.run(run()) else BROKEN
-    except (NotRunError, TimeoutError) as error:
-        cluster.note(f"NOT RUN: {error!r}")
-    finally:
-        cluster.note(f"VERDICT {verdict} (0: held, 1: broken, 2: not run), disruption: {trouble}")
-        cluster.close()
-    sys.exit(verdict)
+    finishing = threading.Lock()
+
+    def finish(verdict: int) -> None:
+        if finishing.acquire(blocking=False):
+            cluster.note(f"VERDICT {verdict} (0: held, 1: broken, 2: not run), disruption: {trouble}")
+            cluster.close()
+            os._exit(verdict)
+
+    async def run() -> None:
+        verdict = NOT_RUN
+        try:
+            await cluster.open()
+            verdict = HELD if await asyncio.wait_for(play(trouble), LONGEST_S) else BROKEN
+        except Exception as error:
+            cluster.note(f"NOT RUN: {error!r}")
+        finish(verdict)
+
+    watchdog = threading.Timer(LONGEST_S + 0.5, finish, [NOT_RUN])
+    watchdog.daemon = True
+    watchdog.start()
+    asyncio.run(run())
