--- a/review/harness/site.py
+++ b/review/harness/site.py
@@ -482,12 +482,12 @@
         while True:
             await asyncio.sleep(0.05)
             now = time.monotonic()
+            self._check_lease()  # a machine that hangs may go on within its lease, not later
             if self.faults.hung:
                 for task in self.tasks.values():
                     if task.ends is not None:
                         task.ends += now - last
             else:
-                self._check_lease()
                 for image, ready in list(self.fetching.items()):
                     if now >= ready:
                         del self.fetching[image]
