--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: with tasks of 1 CPU.
+# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: without the wave.
 cd "$(dirname "$0")/../.." || exit 2
 exec python3 review/6/case.py
