--- a/review/5/case.py
+++ b/review/5/case.py
@@ -17,7 +17,7 @@
 
 
 def make(folder: Path) -> Cluster:
-    """The gyms' deployment with two machines of the type that PROTOCOL gives as its example."""
+    """The gyms' deployment, with the machine type that PROTOCOL gives as its example."""
     limits = Limits(breed="g8", cpus=96.0, ram_gb=768.0, boot_s=45.0, fetch_gb_per_s=1.0, capacity=2)
     return Cluster(folder, limits, {"insights-lab": (64.0, 216.0), "members-desk": (104.0, 320.0)})
 
