Messages to and from machines are bounded in bytes

Callers saw: an array of 4,000 tasks of 0.05 CPUs on machines of 96 CPUs is never done, nor is another team's job on the same machines.

Cause: nothing counted bytes. Tasks were placed as long as processors, memory and quota lasted; all commands went into one answer, all halts into one direct command; scale-out and the order of service counted processors alone.

Change: the room in a machine's heartbeat is a resource like its processors (Resources.list_bytes), taken from the longest encoding of a task's entry, so placement, preemption, stealing, the split of jobs and scale-out respect it. Exits that are not cleared, orphans and undecided tasks take room too. CommandBuilder fills one message at most: new stops, clears, repeated stops, then as many starts as the list holds after the clears. What does not fit goes later. Peers learn of machines with little room in new optional fields; the bytes of all other messages stay the same.

The stand-in workers now drop such lines and keep such heartbeats.

Why it works: between a heartbeat and its answer nothing but that answer adds entries to a machine's list, since a worker has one heartbeat in flight and starts come in answers only. So the list that was just read, less the clears of the answer, plus its starts, is all that the next heartbeat names; and clears come before starts in the answer.

--- a/badgerroute/coordination/requests/job_splitting.py
+++ b/badgerroute/coordination/requests/job_splitting.py
@@ -10,7 +10,8 @@
 
 from badgerroute.protocol.mesh import ShardSummary
 from badgerroute.protocol.users import Submission
-from badgerroute.scheduling.resources import Resources, need_of
+from badgerroute.scheduling.capacities import free_resources_of
+from badgerroute.scheduling.resources import need_of
 from badgerroute.storage.task_ranges import TaskRange
 
 # A shard's queue per machine is the number of processors that its waiting tasks need, divided by its machines. The
@@ -61,9 +62,8 @@
     """Return how many tasks of the job fit into the free capacity of the machines that the job allows."""
     task_resources = need_of(job)
     return sum(
-        capacity.count
-        * Resources(capacity.cpus, capacity.accelerators, capacity.memory_gb).count_fitting(task_resources)
-        for capacity in summary.capacities
+        capacity.count * free_resources_of(capacity).count_fitting(task_resources)
+        for capacity in summary.all_capacities
         if (job.types is None or capacity.type in job.types)
         and (job.zone is None or job.zone == capacity.zone)
         and (job.spot or not capacity.spot)
--- a/badgerroute/coordination/requests/shard_requests.py
+++ b/badgerroute/coordination/requests/shard_requests.py
@@ -6,6 +6,8 @@
 
 from datetime import timedelta
 
+from msgspec import UNSET
+
 from badgerroute.connectivity.modes import Action
 from badgerroute.coordination.leadership.action_policy import ActionPolicy
 from badgerroute.coordination.leadership.leader_records import LeaderRecords
@@ -13,7 +15,7 @@
 from badgerroute.coordination.membership.peers import Peers
 from badgerroute.coordination.requests.victim_selection import VictimSelection, shards_with_work
 from badgerroute.coordination.shards.shard_leader import ShardLeader
-from badgerroute.protocol.mesh import MachineRequest, QuotaRequest, StealRequest
+from badgerroute.protocol.mesh import MachineRequest, QuotaRequest, StealRequest, crowded_only, uncrowded_only
 from badgerroute.transport.loop import Loop, TaskGroup
 
 STEAL_INTERVAL = timedelta(milliseconds=500)
@@ -62,7 +64,15 @@
         waiting_work = shards_with_work(self._peers.summaries(), leader.number, capacities, short_teams)
         victim = self._victims.choose(leader.number, waiting_work)
         if victim is not None:
-            self.request_work_from(victim, StealRequest(victim, leader.number, capacities, images, sorted(short_teams)))
+            request = StealRequest(
+                victim,
+                leader.number,
+                uncrowded_only(capacities),
+                images,
+                sorted(short_teams),
+                crowded_only(capacities) or UNSET,
+            )
+            self.request_work_from(victim, request)
 
     def request_work_from(self, victim: int, message: StealRequest) -> None:
         """Request waiting tasks from a shard, which this controller or a peer leads."""
--- a/badgerroute/coordination/shards/gang_migration.py
+++ b/badgerroute/coordination/shards/gang_migration.py
@@ -121,7 +121,7 @@
     @staticmethod
     def _candidate_shards(job: Job, other_shards: list[ShardSummary]) -> list[ShardSummary]:
         """Return the shards where the whole gang fits or, if there are none, those where it would after preemption."""
-        fitting = [summary for summary in other_shards if holds_whole_job(job, summary.capacities)]
+        fitting = [summary for summary in other_shards if holds_whole_job(job, summary.all_capacities)]
         return fitting or [
             summary
             for summary in other_shards
@@ -150,7 +150,7 @@
     def _request_machines_for(self, job: Job, now: timedelta, other_shards: list[ShardSummary]) -> None:
         """Request from other shards the empty machines that a gang lacks here. Called if the gang fits in no shard."""
         slots_here = self._slots_here(job)
-        slots = slots_here + sum((slots_by_zone(job, summary.capacities) for summary in other_shards), Counter())
+        slots = slots_here + sum((slots_by_zone(job, summary.all_capacities) for summary in other_shards), Counter())
         if not slots:
             return
         shortage = slot_shortage(job.spec, slots_here, slots)
--- a/badgerroute/coordination/shards/heartbeat_responder.py
+++ b/badgerroute/coordination/shards/heartbeat_responder.py
@@ -86,17 +86,18 @@
         may_start = is_new and self._policy.allows_for(self._shard.number, Action.START)
         if is_new and not relayed:
             machine.last_heartbeat_at = now
-        if may_start:
+        commands = self._shard.begin_commands(machine, now, clears=may_start) if is_new else None
+        if commands is not None and may_start:
             time_is_up = deadline_check(self._loop, now + self._planning_time_limit)
             # Gangs come first. They are placed here because, after the next scheduling round, their start commands
             # would have to wait for the machine's next heartbeat.
             self._planner.place_gangs_on(machine, now, time_is_up)
             self._planner.fill_machine(machine, now, time_is_up)
-        commands = self._shard.commands(machine, now, starts=may_start) if is_new else []
+            commands.add_starts()
         machine.last_response_at = now
         if not machine.fenced or machine.unreachable:
             self._fencing.fence(machine)
-        return commands
+        return commands.commands if commands is not None else []
 
     async def _register(self, heartbeat: Heartbeat) -> Machine | None:
         """Register a machine as a member of the shard.
--- a/badgerroute/coordination/shards/summary.py
+++ b/badgerroute/coordination/shards/summary.py
@@ -5,7 +5,18 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from badgerroute.protocol.mesh import FreeCapacity, ImageCapacity, PendingDemand, ShardSummary
+from badgerroute.protocol.mesh import (
+    LIST_BYTES_STEP,
+    UNCROWDED_LIST_BYTES,
+    CrowdedCapacity,
+    FreeCapacity,
+    ImageCapacity,
+    PendingDemand,
+    ShardSummary,
+    TaskListRoom,
+    crowded_only,
+    uncrowded_only,
+)
 from badgerroute.protocol.users import Priority
 from badgerroute.scheduling.model import Machine
 from badgerroute.scheduling.planner import Planner
@@ -23,7 +34,8 @@
 
 # Both are plain tuples for speed, since one of each is created for every machine several times a second.
 MachineResources = tuple[Machine, Resources]  # a machine, and its free or reclaimable resources
-CapacityKey = tuple[str, str, bool, float, float, float]  # type, zone, spot, cpus, accelerators, memory_gb
+# type, zone, spot, cpus, accelerators, memory_gb, list_bytes
+CapacityKey = tuple[str, str, bool, float, float, float, int]
 
 
 class IdleCapacity(NamedTuple):
@@ -73,6 +85,7 @@
             rounding(resources.cpus),
             rounding(resources.accelerators),
             rounding(resources.memory_gb),
+            min(UNCROWDED_LIST_BYTES, resources.list_bytes // LIST_BYTES_STEP * LIST_BYTES_STEP),
         )
         for machine, resources in machine_resources
     )
@@ -89,7 +102,14 @@
         if len(counts) <= MAX_CAPACITY_GROUPS:
             break
         counts = _count_by_capacity(machine_resources, lambda amount, step=step: amount // step * step)  # type: ignore[misc]
-    return [FreeCapacity(*key, count) for key, count in counts.items()]
+    return [_capacity(key, count) for key, count in counts.items()]
+
+
+def _capacity(key: CapacityKey, count: int) -> FreeCapacity:
+    type_name, zone, spot, cpus, accelerators, memory_gb, list_bytes = key
+    if list_bytes >= UNCROWDED_LIST_BYTES:
+        return FreeCapacity(type_name, zone, spot, cpus, accelerators, memory_gb, count)
+    return CrowdedCapacity(type_name, zone, spot, cpus, accelerators, memory_gb, count, list_bytes)
 
 
 def _demands(planner: Planner, now: timedelta) -> list[PendingDemand]:
@@ -129,6 +149,8 @@
     `workers_silent`: whether the heartbeats of at least half of the machines are overdue.
     """
     capacities, images = idle_capacities(shard)
+    # Used only when renting on demand.
+    soon_free = Resources() if scales_out_ahead else planner.soon_free(now)
     running = {
         job.ref: count
         for job in shard.jobs.values()
@@ -139,16 +161,19 @@
         term=shard.term,
         reconciled=shard.reconciled,
         machines=len(shard.machines),
-        capacities=capacities,
+        capacities=uncrowded_only(capacities),
         images=images,
         cached_image_cpus=planner.reclaimable_cpus_by_image(
             max(levels, default=Priority.URGENT.level), MAX_IMAGE_MACHINES
         ),
-        preemptible_capacities={level: _group_capacities(planner.reclaimable_by_machine(level)) for level in levels},
+        preemptible_capacities={
+            level: uncrowded_only(_group_capacities(planner.reclaimable_by_machine(level))) for level in levels
+        },
         demands=_demands(planner, now),
-        soon_free_cpus=0.0 if scales_out_ahead else planner.soon_free_cpus(now),  # used only when renting on demand
+        soon_free_cpus=soon_free.cpus,
         running=running,
         used={team: (usage.cpus, usage.accelerators) for team, usage in shard.usage.items() if usage.tasks},
         workers_silent=workers_silent,
         load=shard.guidance.load(shard, now),
+        task_lists=TaskListRoom(soon_free.list_bytes, crowded_only(capacities)),
     )
--- a/badgerroute/coordination/shards/work_stealing.py
+++ b/badgerroute/coordination/shards/work_stealing.py
@@ -102,7 +102,7 @@
         """Answer an idle shard's request: reassign waiting tasks that fit there, in one conditional write."""
         if not self._shard.reconciled or not self._status.allows(Action.GIVE_WORK):
             return
-        selection = StealSelection(self._shard, message.capacities, message.images, self._loop.now())
+        selection = StealSelection(self._shard, message.all_capacities, message.images, self._loop.now())
         reassignments: list[Reassignment] = []
         for job in self._jobs_by_precedence():
             if len(reassignments) >= min(MAX_JOBS_PER_STEAL, self._store.max_changes):
--- a/badgerroute/protocol/mesh.py
+++ b/badgerroute/protocol/mesh.py
@@ -11,11 +11,19 @@
 import msgspec
 from msgspec import UNSET, Struct, UnsetType, field
 
+from badgerroute.protocol.message_sizes import TASK_LIST_BYTES
 from badgerroute.protocol.users import Submission
 
+# The unit in which the room in machines' task lists is told, and the room that every machine has that is not crowded.
+LIST_BYTES_STEP = TASK_LIST_BYTES // 8
+UNCROWDED_LIST_BYTES = 7 * LIST_BYTES_STEP
+
 
 class FreeCapacity(Struct, array_like=True):
-    """`count` machines of the same type, zone and rental model (spot or not), each with the given free resources."""
+    """`count` machines of the same type, zone and rental model (spot or not), each with the given free resources.
+
+    The task lists in these machines' heartbeats have room for at least UNCROWDED_LIST_BYTES of further tasks.
+    """
 
     type: str
     zone: str
@@ -25,6 +33,32 @@
     memory_gb: float
     count: int
 
+    @property
+    def free_list_bytes(self) -> int:
+        """The room for further tasks in the task list of each machine's heartbeat, in bytes."""
+        return UNCROWDED_LIST_BYTES
+
+
+class CrowdedCapacity(FreeCapacity, array_like=True):
+    """Machines whose task lists have less room: `list_bytes` each. Older versions don't know this type."""
+
+    list_bytes: int
+
+    @property
+    def free_list_bytes(self) -> int:
+        """The room for further tasks in the task list of each machine's heartbeat, in bytes."""
+        return self.list_bytes
+
+
+def crowded_only(capacities: list[FreeCapacity]) -> list[CrowdedCapacity]:
+    """Return the crowded machines among `capacities`."""
+    return [capacity for capacity in capacities if isinstance(capacity, CrowdedCapacity)]
+
+
+def uncrowded_only(capacities: list[FreeCapacity]) -> list[FreeCapacity]:
+    """Return the machines among `capacities` that are not crowded."""
+    return [capacity for capacity in capacities if not isinstance(capacity, CrowdedCapacity)]
+
 
 class ImageCapacity(NamedTuple):
     """Free processors on the machines that cache an image: the total, and the maximum on a single machine.
@@ -83,6 +117,17 @@
     machines_by_load: list[int]
 
 
+class TaskListRoom(Struct):
+    """The room in the task lists of a shard's machines, which their heartbeats must hold.
+
+    `soon_free_bytes`: the room that the tasks take which `ShardSummary.soon_free_cpus` counts.
+    `crowded`: like `ShardSummary.capacities`, for the machines whose task lists have little room.
+    """
+
+    soon_free_bytes: int
+    crowded: list[CrowdedCapacity]
+
+
 class ShardSummary(Struct):
     """The part of a shard's state that other shards need.
 
@@ -95,6 +140,8 @@
     `running`: job -> number of its running tasks.
     `used`: team -> processors and accelerators in use.
     `workers_silent`: whether the heartbeats of at least half of the shard's machines are overdue.
+    `task_lists`: what matters if tasks are so small that they fill the machines' task lists. Older versions don't send
+    it.
     """
 
     shard: int = field(name="part")
@@ -111,6 +158,12 @@
     used: dict[str, tuple[float, float]]
     workers_silent: bool = field(name="silent", default=False)
     load: ShardLoad | UnsetType = UNSET
+    task_lists: TaskListRoom | UnsetType = UNSET
+
+    @property
+    def all_capacities(self) -> list[FreeCapacity]:
+        """The free capacity of all machines, crowded or not."""
+        return [*self.capacities, *(self.task_lists.crowded if self.task_lists else ())]
 
 
 class Gossip(Struct, tag="gossip"):
@@ -157,6 +210,12 @@
     capacities: list[FreeCapacity] = field(name="bins")
     images: dict[str, ImageCapacity]
     teams_lacking_quota: list[str] = field(name="short", default_factory=list)
+    crowded_capacities: list[CrowdedCapacity] | UnsetType = field(name="crowded_bins", default=UNSET)
+
+    @property
+    def all_capacities(self) -> list[FreeCapacity]:
+        """The free capacity of all machines, crowded or not."""
+        return [*self.capacities, *(self.crowded_capacities or ())]
 
 
 class QuotaRequest(Struct, tag="lack"):
--- a/badgerroute/scheduling/capacities.py
+++ b/badgerroute/scheduling/capacities.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from badgerroute.protocol.mesh import FreeCapacity, PendingDemand
+from badgerroute.protocol.message_sizes import max_task_status_bytes
 from badgerroute.protocol.users import Submission
 from badgerroute.scheduling.model import Job
 from badgerroute.scheduling.placement_constraints import allows, gang_fits, max_tasks_per_zone
@@ -13,7 +14,12 @@
 
 def free_resources_of(capacity: FreeCapacity) -> Resources:
     """The free resources of each single machine that `capacity` describes."""
-    return Resources(capacity.cpus, capacity.accelerators, capacity.memory_gb)
+    return Resources(capacity.cpus, capacity.accelerators, capacity.memory_gb, capacity.free_list_bytes)
+
+
+def need_of_demand(demand: PendingDemand) -> Resources:
+    """The resources that each task of a demand uses."""
+    return Resources(demand.cpus, demand.accelerators, demand.memory_gb, max_task_status_bytes(demand.ref))
 
 
 def fits_capacity(demand: PendingDemand, capacity: FreeCapacity) -> bool:
@@ -22,7 +28,7 @@
         (demand.types is None or capacity.type in demand.types)
         and demand.zone in (None, capacity.zone)
         and (demand.spot or not capacity.spot)
-        and free_resources_of(capacity).holds(Resources(demand.cpus, demand.accelerators, demand.memory_gb))
+        and free_resources_of(capacity).holds(need_of_demand(demand))
     )
 
 
--- a/badgerroute/scheduling/heartbeat_reconciliation.py
+++ b/badgerroute/scheduling/heartbeat_reconciliation.py
@@ -49,10 +49,9 @@
         if heartbeat.fencing_token < self._shard.required_fencing_token and not machine.never_commanded:
             # A former leader may still send the machine commands, and so change its tasks after this list was sent.
             machine.fenced = False
-            return message.events
-        if self._is_unchanged(machine, heartbeat):
-            return message.events
-        self._read_task_list(message)
+        elif not self._is_unchanged(machine, heartbeat):
+            self._read_task_list(message)
+        machine.count_unplaced()
         return message.events
 
     @staticmethod
--- a/badgerroute/scheduling/lease_expiry.py
+++ b/badgerroute/scheduling/lease_expiry.py
@@ -42,6 +42,7 @@
     shard.lose_tasks(machine, now)
     machine.orphans.clear()
     machine.undecided.clear()
+    machine.count_unplaced()
     machine.alive = False
     machine.expired_incarnation = machine.incarnation
     machine.fenced = True
--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -14,9 +14,10 @@
 from typing import NamedTuple
 
 from badgerroute.protocol.cloud import MachineType
+from badgerroute.protocol.message_sizes import max_task_status_bytes
 from badgerroute.protocol.users import Submission
 from badgerroute.protocol.workers import TaskStatus
-from badgerroute.scheduling.resources import Resources
+from badgerroute.scheduling.resources import Resources, capacity_of
 from badgerroute.scheduling.task_attempt import TaskAttempt
 from badgerroute.scheduling.task_phase import PHASES_WITHOUT_IMAGE, Phase
 from badgerroute.storage.bitset import lowest_bit
@@ -56,6 +57,11 @@
         """The job's ID and the task's number."""
         return self.job.ref, self.index
 
+    @property
+    def task(self) -> str:
+        """The task's name in messages: `job/number`."""
+        return f"{self.job.ref}/{self.index}"
+
     @property
     def stopping(self) -> bool:
         """Whether a command to stop the task was sent or is due."""
@@ -103,6 +109,8 @@
     orphans: set[TaskAttempt] = field(default_factory=set)
     # Tasks whose job may or may not have been released; they are left running until this is known
     undecided: set[TaskAttempt] = field(default_factory=set)
+    # Space that the tasks without a placement take in its heartbeat's task list; `free` does not contain it
+    unplaced_list_bytes: int = 0
     # Job -> its first failure on this machine since any task was last done here
     failed_jobs: dict[str, timedelta] = field(default_factory=dict)
 
@@ -161,6 +169,25 @@
         """Whether the machine has no tasks, and no exited tasks that must still be cleared from its task list."""
         return not self.placements and not self.exited and not self.orphans and not self.undecided
 
+    def free_everything(self) -> None:
+        """Free all resources, to discard accumulated rounding errors once no task is placed here."""
+        self.free = capacity_of(self.machine_type)
+        self.free.list_bytes -= self.unplaced_list_bytes
+        self.allocated_by_level.clear()
+
+    def count_unplaced(self) -> None:
+        """Count the space of all tasks in its task list that have no placement. Call it when these have changed."""
+        tasks = (*self.exited, *self.orphans, *self.undecided)
+        self._set_unplaced_list_bytes(sum(max_task_status_bytes(task.ref) for task in tasks))
+
+    def expect_cleared(self, ref: str) -> None:
+        """Free the space of one exited task, which a command in the answer to its last heartbeat clears."""
+        self._set_unplaced_list_bytes(self.unplaced_list_bytes - max_task_status_bytes(ref))
+
+    def _set_unplaced_list_bytes(self, size: int) -> None:
+        self.free.list_bytes += self.unplaced_list_bytes - size
+        self.unplaced_list_bytes = size
+
     def touch_image(self, image: str, size_gb: float) -> None:
         """Mark an image as most recently used, and drop the images that no longer fit in the cache."""
         if self.images and next(reversed(self.images)) == image:
--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -171,12 +171,12 @@
                 )
         return demands
 
-    def soon_free_cpus(self, now: timedelta) -> float:
-        """The number of processors of array tasks that should end before a newly rented machine could start a task.
+    def soon_free(self, now: timedelta) -> Resources:
+        """The resources of array tasks that should end before a newly rented machine could start a task.
 
         Such a machine must first boot and fetch the job's image.
         """
-        total = 0.0
+        total = Resources()
         for job in self.shard.jobs.values():
             if job.gang or not job.placements:
                 continue
@@ -195,5 +195,5 @@
                     )
                     latest_start = latest_starts[machine_type.name] = now + startup - run
                 if running_since < latest_start:
-                    total += job.task_resources.cpus
+                    total.add(job.task_resources)
         return total
--- a/badgerroute/scheduling/scale_out_planning.py
+++ b/badgerroute/scheduling/scale_out_planning.py
@@ -9,13 +9,18 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from msgspec import UNSET
+
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.mesh import PendingDemand, ShardSummary
-from badgerroute.scheduling.capacities import free_resources_of
+from badgerroute.protocol.message_sizes import max_task_status_bytes
+from badgerroute.scheduling.capacities import free_resources_of, need_of_demand
 from badgerroute.scheduling.objectives import Objectives
 from badgerroute.scheduling.resources import Resources, capacity_of
 from badgerroute.settings import Settings, Team
 
+UNLIMITED_LIST_BYTES = 1 << 40
+
 
 class MachinePool(NamedTuple):
     """What one rental request can ask for: machines of one type, in one zone, all spot or all on demand."""
@@ -49,6 +54,11 @@
     return (machine_type.spot_price if pool.spot else machine_type.price) / max(machine_type.cpus, 1e-9)
 
 
+def _soon_free_list_bytes(summary: ShardSummary) -> int:
+    """The room in task lists that tasks will leave soon. Older versions don't tell it: then only processors count."""
+    return UNLIMITED_LIST_BYTES if summary.task_lists is UNSET else summary.task_lists.soon_free_bytes
+
+
 def _pool_allowed(demand: PendingDemand, pool: MachinePool) -> bool:
     return (
         (demand.types is None or pool.type in demand.types)
@@ -84,7 +94,7 @@
 
     def _after(self, need: Resources, tasks: int, machines: int) -> "_CapacityGroup":
         free = self.free.copy()
-        free.subtract(Resources(need.cpus * tasks, need.accelerators * tasks, need.memory_gb * tasks))
+        free.subtract(need.times(tasks))
         return _CapacityGroup(self.pool, free, machines)
 
 
@@ -114,20 +124,25 @@
     ) -> dict[MachinePool, int]:
         """The number of machines to request from each pool, in addition to the present and the expected machines."""
         self._count_capacity(summaries, expected)
-        freeing_cpus = sum(shard.soon_free_cpus for shard in summaries)
+        freeing = Resources(
+            cpus=sum(shard.soon_free_cpus for shard in summaries), list_bytes=sum(map(_soon_free_list_bytes, summaries))
+        )
         demands = [demand for shard in summaries for demand in shard.demands]
+        needs = [need_of_demand(demand) for demand in demands]
         self._least_need = Resources(
-            min((demand.cpus for demand in demands), default=0.0),
-            min((demand.accelerators for demand in demands), default=0.0),
-            min((demand.memory_gb for demand in demands), default=0.0),
+            min((need.cpus for need in needs), default=0.0),
+            min((need.accelerators for need in needs), default=0.0),
+            min((need.memory_gb for need in needs), default=0.0),
+            min((need.list_bytes for need in needs), default=0),
         )
         demands.sort(key=lambda demand: (not demand.guaranteed, -demand.level, -demand.waited_s))
         for demand in demands:
             count = self._within_limit(demand)
             if not demand.gang and demand.cpus > 0:
                 # Some running tasks will end before a new machine could start tasks, and leave their images cached.
-                served = min(count, int(freeing_cpus / demand.cpus))
-                freeing_cpus -= served * demand.cpus
+                need = Resources(cpus=demand.cpus, list_bytes=max_task_status_bytes(demand.ref))
+                served = min(count, freeing.count_fitting(need))
+                freeing.subtract(need.times(served))
                 count -= served
             if count > 0:
                 self._assign(demand, count)
@@ -135,7 +150,7 @@
 
     def _count_capacity(self, summaries: list[ShardSummary], expected: list[ExpectedMachines]) -> None:
         for shard in summaries:
-            for capacity in shard.capacities:
+            for capacity in shard.all_capacities:
                 pool = MachinePool(capacity.type, capacity.zone, capacity.spot)
                 self._groups.append(_CapacityGroup(pool, free_resources_of(capacity), capacity.count))
             for team, (cpus, accelerators) in shard.used.items():
@@ -160,7 +175,7 @@
         return count
 
     def _assign(self, demand: PendingDemand, count: int) -> None:
-        need = Resources(demand.cpus, demand.accelerators, demand.memory_gb)
+        need = need_of_demand(demand)
         groups: list[_CapacityGroup] = []
         for group in self._groups:
             if count > 0 and group.free.holds(need) and _pool_allowed(demand, group.pool):
--- a/badgerroute/scheduling/service_order.py
+++ b/badgerroute/scheduling/service_order.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from math import inf
 
+from badgerroute.protocol.message_sizes import TASK_LIST_BYTES
 from badgerroute.scheduling import delay_scheduling
 from badgerroute.scheduling.model import Job
 from badgerroute.scheduling.objectives import Objectives
@@ -26,6 +27,7 @@
         self._shard, self._objectives = shard, objectives
         self.jobs: list[Job] = []
         self.least_need = Resources()  # no waiting array task needs less of any resource than this
+        self._machine_cpus = 0.0  # the processors of the largest machine
         self.images = delay_scheduling.ImageLocations([])
         self._lateness_tiers: dict[str, float] = {}
         self._gangs_lacking_quota: dict[str, list[Job]] = {}  # team -> gangs that wait for quota
@@ -54,8 +56,12 @@
                 self._gangs_lacking_quota.setdefault(job.spec.team, []).append(job)
         needs = [job.task_resources for job in waiting if not job.gang]
         self.least_need = Resources(
-            min((need.cpus for need in needs), default=inf), 0.0, min((need.memory_gb for need in needs), default=inf)
+            min((need.cpus for need in needs), default=inf),
+            0.0,
+            min((need.memory_gb for need in needs), default=inf),
+            min((need.list_bytes for need in needs), default=0),
         )
+        self._machine_cpus = max((machine.machine_type.cpus for machine in self._shard.machines.values()), default=0.0)
 
     def _lateness_tier(self, job: Job, now: timedelta) -> float:
         if job.lateness_tier < 0:
@@ -102,5 +108,12 @@
 
     def share_key(self, job: Job) -> tuple[float, float]:
         """Sort key within a group: the precedence given by guidance, then the share of the shard that the job uses."""
-        held = len(job.placements) * (job.task_resources.cpus + CPUS_PER_ACCELERATOR * job.task_resources.accelerators)
-        return self._shard.guidance.precedence(job), held
+        return self._shard.guidance.precedence(job), len(job.placements) * self._dominant_cpus(job.task_resources)
+
+    def _dominant_cpus(self, need: Resources) -> float:
+        """A task's dominant share, in processors: of processors and accelerators, or of a heartbeat's task list.
+
+        Thousands of tiny tasks fill the task lists of machines while they use few processors.
+        """
+        list_share = need.list_bytes / TASK_LIST_BYTES
+        return max(need.cpus + CPUS_PER_ACCELERATOR * need.accelerators, list_share * self._machine_cpus)
--- a/badgerroute/scheduling/shard.py
+++ b/badgerroute/scheduling/shard.py
@@ -11,7 +11,7 @@
 
 from badgerroute.protocol.cloud import MachineType
 from badgerroute.protocol.workers import Command, Heartbeat
-from badgerroute.scheduling.command_building import build_commands
+from badgerroute.scheduling.command_building import CommandBuilder
 from badgerroute.scheduling.duration_estimates import DurationEstimates
 from badgerroute.scheduling.events import Events
 from badgerroute.scheduling.failures import FailureTracker
@@ -101,6 +101,7 @@
         machine.last_task_list = None
         machine.exited.clear()
         machine.undecided.clear()
+        machine.count_unplaced()
 
     # -- jobs
 
@@ -250,8 +251,7 @@
         job.unplace(placement.index)
         self.quota.remove(job)
         if not machine.placements:
-            machine.free = capacity_of(machine.machine_type)
-            machine.allocated_by_level.clear()
+            machine.free_everything()
         if not job.placements:
             job.gang_attempt = None
             if job.can_be_dropped:
@@ -295,11 +295,26 @@
     # -- commands
 
     def commands(self, machine: Machine, now: timedelta, starts: bool) -> list[Command]:
-        """Return the commands for a machine; see `build_commands`.
+        """Return the commands for a machine, at most as many as one message holds; see `CommandBuilder`.
 
         `starts` is set for a heartbeat response. It is not set for a direct command, which must contain no starts.
         """
-        return build_commands(machine, now, starts, self._clearable)
+        builder = self.begin_commands(machine, now, clears=starts)
+        if starts:
+            builder.add_starts()
+        return builder.commands
+
+    def begin_commands(self, machine: Machine, now: timedelta, clears: bool) -> CommandBuilder:
+        """Begin the commands of a heartbeat response with stops and, if `clears` is set, with clears.
+
+        The clears make room in the machine's task list for the starts that may follow.
+        """
+        commands = CommandBuilder(machine, now)
+        commands.add_new_stops()
+        if clears:
+            commands.add_clears(self._clearable)
+        commands.add_repeated_stops()
+        return commands
 
     def _clearable(self, ref: str, index: int) -> bool:
         """Whether an exited task may be cleared from a machine's task list.
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -15,6 +15,7 @@
 from tests.standins.net import World
 
 SECOND = timedelta(seconds=1)
+MAX_MESSAGE_BYTES = 65536  # of a heartbeat, and of a line in its response; a worker takes and sends no more
 # Heartbeat period, a machine's lease, how long a gang's task waits for the other tasks, `gang_peer_s` of the settings.
 HEARTBEAT, LEASE, GANG_WAIT = SECOND, 11 * SECOND, 45 * SECOND
 
@@ -118,7 +119,9 @@
             sent, incarnation = self.loop.now(), self.incarnation
             body = json.dumps(self.heartbeat()).encode()
             self.changed = Future()
-            if self.heartbeats_blocked:
+            if len(body) > MAX_MESSAGE_BYTES:
+                self.site.rules.report_violation("report_limit", f"{self.name} has {len(self.tasks)} tasks")
+            if self.heartbeats_blocked or len(body) > MAX_MESSAGE_BYTES:
                 target = (target + 1) % len(hosts)
                 await self.loop.sleep(SECOND)
                 continue
@@ -129,6 +132,9 @@
             self.site.sent_heartbeats.append((self.name, body))
             if self.unreachable:
                 response = None
+            if response is not None and len(response.body) > MAX_MESSAGE_BYTES:
+                self.site.rules.report_violation("line_limit", f"{len(response.body)} bytes for {self.name}")
+                response = None
             await self._wait_while_unresponsive()
             late = self.loop.now() - sent > 4 * SECOND
             if response is not None and not late and response.status == 200:
