Transactions stay within 64 KiB in all

Cause: pages of predecessors, pages of done tasks and stolen jobs were batched by the number of changes alone. The store also refuses a transaction above 64 KiB in all, and the client lowers its limits after a refusal only where none are announced.

Change: transaction_batches divides changes by number and bytes; the bound of ProgressWriter moved there. A steal writes its first batch, the rest waits for the next request.

Why it works: values of one transaction have at most 40 kB, or one value alone; keys and conditions fit into the rest.

--- a/badgerroute/coordination/jobs/job_writer.py
+++ b/badgerroute/coordination/jobs/job_writer.py
@@ -1,6 +1,7 @@
 """Accepts and cancels jobs at the request of users."""
 
 import logging
+from operator import attrgetter
 
 from badgerroute.coordination.jobs.job_lookup import FinishedJob, UnknownJob, UnknownJobError
 from badgerroute.coordination.jobs.job_reader import JobReader
@@ -23,6 +24,7 @@
 from badgerroute.storage.records import FinalStateRecord, JobRecord, JobState
 from badgerroute.storage.replica import Replica
 from badgerroute.storage.task_ranges import TaskRange
+from badgerroute.storage.transaction_batches import transaction_batches
 from badgerroute.transport.loop import Loop
 
 log = logging.getLogger(__name__)
@@ -95,8 +97,7 @@
         other predecessors.
         """
         conditions: list[Compare] = []
-        for first in range(0, len(pages), self._store.max_changes):
-            batch = pages[first : first + self._store.max_changes]
+        for batch in transaction_batches(pages, attrgetter("size"), self._store.max_changes):
             transaction = self._transaction()
             for condition in absent_conditions:
                 transaction.require(condition)
--- a/badgerroute/coordination/jobs/progress_writer.py
+++ b/badgerroute/coordination/jobs/progress_writer.py
@@ -15,11 +15,10 @@
 from badgerroute.storage.rate_limiter import Urgency
 from badgerroute.storage.records import FinalStateRecord, JobRecord, JobState
 from badgerroute.storage.replica import Replica
+from badgerroute.storage.transaction_batches import MAX_TRANSACTION_VALUE_BYTES
 from badgerroute.transport.loop import Loop
 
 log = logging.getLogger(__name__)
-# No further job is added to a transaction once its values exceed this size. A transaction may have up to 64 KiB.
-MAX_TRANSACTION_BYTES = 40_000
 MAX_PROGRESS_ATTEMPTS = 5
 CHANGES_PER_COMPLETED_JOB = 2  # the record is removed and the final state is put
 
@@ -91,7 +90,7 @@
         pending = ProgressTransaction(transaction)
         for progress in batch:
             remaining_changes = self._store.max_changes - len(transaction)
-            if transaction.value_bytes > MAX_TRANSACTION_BYTES or remaining_changes < CHANGES_PER_COMPLETED_JOB:
+            if transaction.value_bytes > MAX_TRANSACTION_VALUE_BYTES or remaining_changes < CHANGES_PER_COMPLETED_JOB:
                 break
             record = self._job_store.active.get(progress.ref)
             conditions = [leadership_condition(shard) for shard in progress.shards]
--- a/badgerroute/coordination/jobs/record_paging.py
+++ b/badgerroute/coordination/jobs/record_paging.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Container
 from dataclasses import dataclass
+from operator import attrgetter
 
 import msgspec
 
@@ -19,6 +20,7 @@
 from badgerroute.storage.rate_limiter import Urgency
 from badgerroute.storage.records import DonePage, JobRecord, PredecessorsPage
 from badgerroute.storage.replica import Replica
+from badgerroute.storage.transaction_batches import transaction_batches
 
 log = logging.getLogger(__name__)
 MAX_PREDECESSORS = 1000
@@ -149,8 +151,8 @@
         pages = self._missing_pages(ref, record, done)
         changes = [*pages, KeyValue(JOBS + ref, records.write(shrunk))]
         try:
-            for first in range(0, len(changes), self._store.max_changes):
-                await self._write_changes(ref, revision, changes[first : first + self._store.max_changes])
+            for batch in transaction_batches(changes, attrgetter("size"), self._store.max_changes):
+                await self._write_changes(ref, revision, batch)
         except WRITE_ERRORS as error:
             log.info("event=record_paging_delayed job=%s error=%s", ref, error)
             return
--- a/badgerroute/coordination/shards/job_transfers.py
+++ b/badgerroute/coordination/shards/job_transfers.py
@@ -36,6 +36,11 @@
     ref: str
     record: records.JobRecord
 
+    @property
+    def size(self) -> int:
+        """The size of the record's value, in bytes."""
+        return len(bytes(records.write(self.record)))
+
 
 @dataclass(frozen=True, slots=True)
 class _TransferWrite:
--- a/badgerroute/coordination/shards/work_stealing.py
+++ b/badgerroute/coordination/shards/work_stealing.py
@@ -1,6 +1,7 @@
 """Work stealing: when an idle shard needs work, and which tasks a busy shard gives to an idle one."""
 
 from datetime import timedelta
+from operator import attrgetter
 from typing import NamedTuple
 
 from badgerroute.connectivity.modes import Action
@@ -15,6 +16,7 @@
 from badgerroute.scheduling.stealing import StealSelection, ranges_after_transfer
 from badgerroute.storage.key_value_client import KeyValueClient
 from badgerroute.storage.records import JobRecord
+from badgerroute.storage.transaction_batches import transaction_batches
 from badgerroute.transport.loop import Loop
 
 MAX_RANGES = 48  # a job whose tasks are split into more ranges is not stolen from
@@ -114,8 +116,10 @@
             if tasks:
                 ranges = ranges_after_transfer(record.assigned_ranges, tasks, message.thief)
                 reassignments.append(Reassignment(job.ref, record.with_ranges(ranges)))
-        if reassignments:
-            await self._job_transfers.write(reassignments, message.thief)
+        # What does not fit into one transaction waits for the next request: after a write its records may be outdated.
+        batch = next(transaction_batches(reassignments, attrgetter("size"), self._store.max_changes), None)
+        if batch:
+            await self._job_transfers.write(batch, message.thief)
 
     def _jobs_by_precedence(self) -> list[Job]:
         precedence = self._shard.guidance.precedence
--- a/tests/test_pipeline_edges.py
+++ b/tests/test_pipeline_edges.py
@@ -12,9 +12,10 @@
 
 from badgerroute.coordination.jobs.job_reader import JobReader
 from badgerroute.protocol.key_value import names_ended_lease
+from badgerroute.protocol.mesh import FreeCapacity, ImageCapacity, StealRequest
 from badgerroute.protocol.users import Submission
 from badgerroute.scheduling.dependencies import Dependencies, FinalState
-from badgerroute.settings import LaterStoreLimits, StoreLimits
+from badgerroute.settings import LaterStoreLimits, StoreLimits, Team
 from badgerroute.storage import records
 from badgerroute.storage.errors import RequestRefusedError, StoreUnavailableError
 from badgerroute.storage.operations import put
@@ -210,6 +211,39 @@
     return [f"run-{name}{number:03d}-{'x' * 40}" for number in range(count)]
 
 
+def test_pages_that_together_exceed_a_transaction_are_written_in_several() -> None:
+    """A transaction above 64 KiB is refused; where the limits are announced, the job itself was then refused (422)."""
+    day = Day(seed=77, value_kb=8.0, txn_ops=48, write_rps=200, later=LaterStoreLimits(value_kb=8.0, txn_ops=48))
+    day.run(5)
+    predecessors = [f"run-{number:03d}{'x' * 57}" for number in range(970)]
+    writer = day.controllers[HOSTS[0]][0].jobs.writer
+    assert wait_for(day, writer.accept(submission("run-a", predecessors), [TaskRange(0, 0, 6)]))
+    assert len([key for key in day.store.items if key.startswith("b/before/run-a/")]) == 41
+
+
+def test_a_steal_of_large_records_stays_within_a_transaction() -> None:
+    """Six records of 12 KB exceed a transaction; where the limits are announced, the same steal was tried for ever."""
+    later = LaterStoreLimits(value_kb=16.0, txn_ops=16)
+    day = Day(seed=78, capacity=0, later=later, teams=[Team("blue", 500.0, 1000.0)])
+    day.run(5)
+    types = ["k8", *(f"type-{number:03d}-{'x' * 100}" for number in range(110))]
+    for number in range(6):
+        assert day.submit(job(f"run-s{number}", heads=200, breeds=types, trek_s=100.0, rank="idle")) == 201
+    day.run(2)
+    leaders = [leader for controller, _ in day.controllers.values() for leader in controller.leaders.values()]
+    victim, thief = leaders[0], leaders[1]
+    shared = [job for job in victim.shard.jobs.values() if job.waiting_bits.bit_count() > 20]
+    assert len(shared) == 6
+    before = {job.ref: job.owned for job in shared}
+    capacity = FreeCapacity("k8", "a", False, 8.0, 0.0, 32.0, 200)
+    request = StealRequest(victim.number, thief.number, [capacity], {"img-1": ImageCapacity(1600.0, 8.0)})
+    wait_for(day, victim.work_stealing.on_steal(request))
+    given = [job.ref for job in shared if job.owned != before[job.ref]]
+    assert 1 < len(given) < 6
+    wait_for(day, victim.work_stealing.on_steal(request))
+    assert len([job.ref for job in shared if job.owned != before[job.ref]]) > len(given)
+
+
 def test_a_late_page_does_not_change_an_accepted_job() -> None:
     """If an accepted job is submitted to another controller with other predecessors, its stored pages do not change."""
     day = Day(seed=76, later=LOWER)
