A shard without free capacity asks for quota that an array lacks

Callers saw (in virtual time, beside an array that fills the machines' task lists): four tasks of an urgent array waited for more than 120 s behind idle tasks of another team, with their team far below its limit.

Cause: placement asks for quota only where a task finds free capacity, and preemption frees capacity only for tasks within the quota. In a shard that has neither, each waits for the other.

Change: a shortfall is recorded for as many tasks of an array as would fit once lower levels gave way, and the shard keeps quota for the same number, so that two full shards don't take it from each other in turn.

Why it works: the count looks at what preemption would free, not at what is free, and asks before the quota is there; the bound on how long a job waits before it may preempt applies as before.

--- a/badgerroute/scheduling/planner.py
+++ b/badgerroute/scheduling/planner.py
@@ -49,7 +49,12 @@
         self._rules = PlacementRules(shard, self._order, settings, objectives, heartbeat)
         self._evictions = EvictionPlanner(shard, self._order)
         self._preemption = Preemption(
-            shard, order=self._order, evictions=self._evictions, objectives=objectives, heartbeat=heartbeat
+            shard,
+            order=self._order,
+            rules=self._rules,
+            evictions=self._evictions,
+            objectives=objectives,
+            heartbeat=heartbeat,
         )
         self._gangs = GangPlacement(
             shard,
@@ -136,7 +141,7 @@
             return 0
         if job.gang:
             return job.startable if not job.placements and self._order.has_room(job) else 0
-        return min(job.startable, self.shard.count_free_slots(job))
+        return self._preemption.startable_array_tasks(job, now)
 
     def update_desires(self, now: timedelta) -> None:
         """Record how many tasks each job runs and how many wait, for the utilization feedback.
--- a/badgerroute/scheduling/preemption.py
+++ b/badgerroute/scheduling/preemption.py
@@ -14,6 +14,7 @@
 from badgerroute.scheduling.model import ZERO, Job, Placement
 from badgerroute.scheduling.objectives import Objectives
 from badgerroute.scheduling.placement_constraints import max_tasks_per_zone
+from badgerroute.scheduling.placement_rules import PlacementRules
 from badgerroute.scheduling.service_order import ServiceOrder
 from badgerroute.scheduling.shard import Shard
 from badgerroute.storage.bitset import lowest_bit
@@ -36,11 +37,12 @@
         shard: Shard,
         *,
         order: ServiceOrder,
+        rules: PlacementRules,
         evictions: EvictionPlanner,
         objectives: Objectives,
         heartbeat: timedelta,
     ) -> None:
-        self._shard, self._order, self._evictions = shard, order, evictions
+        self._shard, self._order, self._rules, self._evictions = shard, order, rules, evictions
         self._objectives, self._heartbeat = objectives, heartbeat
         self._cursor = 0  # position of the job at which the next round resumes
         self.overrun_rounds = 0  # rounds that ran out of time
@@ -141,19 +143,47 @@
 
         The result is 0 if the array may not preempt, for example because it has not waited long enough.
         """
-        min_wait = self.wait_before_preemption(job)
-        if job.gang or job.failing or now - job.waiting_since < min_wait or self._order.yields_to_gang(job):
-            return 0
-        waiting = job.waiting_bits
-        if not waiting or now - min(job.requeued.get(lowest_bit(waiting), job.waiting_since), now) < min_wait:
+        if not self._may_preempt_for_array(job, now):
             return 0
-        wanted = min(waiting.bit_count(), self._shard.tasks_within_quota(job, limit), limit)
+        wanted = min(job.waiting_bits.bit_count(), limit)
+        within_quota = self._shard.tasks_within_quota(job, wanted)
+        if within_quota < wanted:
+            # Where no capacity is free, placement never finds out that quota is missing as well.
+            slots = self._slots_after_preemption(job, wanted, now)
+            if slots:
+                self._rules.record_shortfall(job, slots)
+        wanted = within_quota
         for machine in self._evictions.candidates(job, now, with_free_cpus=True):
             if wanted <= 0:
                 break
             wanted -= machine.free.count_fitting(job.task_resources)
         return wanted
 
+    def _may_preempt_for_array(self, job: Job, now: timedelta) -> bool:
+        """Whether tasks may be stopped for an array now, if it lacks capacity: it has waited long enough."""
+        min_wait = self.wait_before_preemption(job)
+        if job.gang or job.failing or now - job.waiting_since < min_wait or self._order.yields_to_gang(job):
+            return False
+        waiting = job.waiting_bits
+        return bool(waiting) and now - min(job.requeued.get(lowest_bit(waiting), job.waiting_since), now) >= min_wait
+
+    def _slots_after_preemption(self, job: Job, tasks: int, now: timedelta) -> int:
+        """How many of `tasks` tasks of a job would fit if all tasks of lower levels were stopped."""
+        slots = 0
+        for machine in self._evictions.candidates(job, now):
+            slots += machine.reclaimable(job.level).count_fitting(job.task_resources)
+            if slots >= tasks:
+                return tasks
+        return slots
+
+    def startable_array_tasks(self, job: Job, now: timedelta) -> int:
+        """How many tasks of an array could start if only quota counted: on free capacity, or after preemption."""
+        wanted = job.startable
+        fitting = min(wanted, self._shard.count_free_slots(job))
+        if fitting < wanted and self._may_preempt_for_array(job, now):
+            return max(fitting, self._slots_after_preemption(job, wanted, now))
+        return fitting
+
     def _preempt_for_array(self, job: Job, wanted: int, now: timedelta) -> int:
         """Make room for one task on each of up to `wanted` machines, first on those that cache the image.
 
--- a/tests/test_small_tasks.py
+++ b/tests/test_small_tasks.py
@@ -79,6 +79,21 @@
     assert day.rules.broken == []
 
 
+def test_urgent_work_gets_the_task_lists_that_idle_tasks_fill() -> None:
+    """Nothing but the list is full: idle tasks are stopped, and the clears of their exits make the room.
+
+    In a shard without free capacity, nothing asked for the quota that the urgent job lacked there too.
+    """
+    day = small_tasks_day()
+    day.submit(small("run-000412", 3000, trek_s=3000.0))
+    day.run(15)
+    day.submit(job("run-000399", crew="red", heads=20, trek_s=5.0, rank="urgent"))
+    assert day.run_until(lambda: day.site.is_done("run-000399"), 60)
+    day.cancel("run-000412")
+    assert day.finish(60) == []
+    assert day.rules.broken == []
+
+
 @pytest.mark.parametrize("hosts", [("drover-0",), ("drover-0", "drover-1", "drover-2")])
 def test_machines_with_full_task_lists_are_taken_over(hosts: tuple[str, ...]) -> None:
     day = small_tasks_day()
