--- a/tests/test_unanswered_writes.py
+++ b/tests/test_unanswered_writes.py
@@ -36,7 +36,7 @@
     gang = {"gait": "group", "cpus": 7.0, "pasture": "a", "together": True, "strays": False, "rank": "urgent"}
     day.submit(job(f"run-{name}-gang", crew="guests", heads=4, trek_s=4.0, **gang))
     long_names = {"herd": "batch" * 22, "brand": "image" * 22}  # so that the done tasks don't fit in the record
-    day.submit(job(f"run-{name}-tasks", crew="guests", heads=600, cpus=0.1, ram_gb=0.1, trek_s=1.0, **long_names))
+    day.submit(job(f"run-{name}-tasks", crew="guests", heads=1500, cpus=0.1, ram_gb=0.1, trek_s=1.0, **long_names))
     upstream = [f"run-{name}-upstream{number:02}" for number in range(25)]
     day.submit_together([job(ref, heads=1, cpus=0.1, trek_s=1.0) for ref in upstream])
     day.submit(job(f"run-{name}-downstream", follows=upstream, trek_s=2.0))
