A copy of a start finds its attempt listed until workers drop it

Callers saw (another service; here on the stand-ins, with copies of answers that come again within 4 s): a task that was done or stopped, and cleared, runs again on its machine, above its team's limit or beside a new attempt elsewhere.

Cause: a worker ignores the start of an attempt that it lists, but starts a cleared one once more. Clears were sent as soon as an exit was recorded, and an attempt that a later list lacked was released at once.

Change: for 4.1 s after a start was sent its attempt is not cleared, and its absence from a list proves nothing; the exit of a gang task that was restarted as the same attempt is not acted on, since that answer holds a clear too.

Why it works: a worker drops an answer 4 s after its heartbeat, so once the attempt may be cleared or released no copy of its start is carried out any more.

--- a/badgerroute/scheduling/command_building.py
+++ b/badgerroute/scheduling/command_building.py
@@ -65,12 +65,16 @@
         return self._add(Command("halt", placement.task, placement.attempt, grace.total_seconds()))
 
     def add_clears(self, clearable: Callable[[str, int], bool]) -> None:
-        """Add the clears of exited tasks.
+        """Add the clears of exited tasks, but none while a copy of the task's start could still be carried out.
 
+        A worker ignores the start of an attempt that it still lists, and would start a cleared attempt once more.
         `clearable` takes a job's ID and a task's number, and returns whether the exit of this task may be cleared.
         """
+        self._machine.forget_old_starts(self._now)
         for exited in self._machine.exited:
-            if clearable(exited.ref, exited.number) and self._add(Command("clear", exited.task, exited.attempt)):
+            if exited in self._machine.recent_starts or not clearable(exited.ref, exited.number):
+                continue
+            if self._add(Command("clear", exited.task, exited.attempt)):
                 self._machine.expect_cleared(exited.ref)
 
     def add_starts(self) -> None:
@@ -91,6 +95,7 @@
         """Mark a start as sent. A later heartbeat shows whether the worker executed it."""
         machine = self._machine
         placement.phase = Phase.SENT
+        machine.recent_starts[placement.task_attempt] = self._now
         machine.last_task_list = None  # so that the next task list is read even if it is unchanged
         placement.sent = HeartbeatNumber(machine.incarnation, machine.sequence)
         if not placement.gang_wait_restarts:
--- a/badgerroute/scheduling/heartbeat_reconciliation.py
+++ b/badgerroute/scheduling/heartbeat_reconciliation.py
@@ -147,10 +147,15 @@
     def _release_absent(self, message: TaskListMessage, present: set[tuple[str, int]]) -> None:
         """Release placements that are not listed: the task no longer runs, or its start command did not arrive."""
         machine = message.machine
+        machine.forget_old_starts(message.now)
         missed_start = False
         for key, placement in list(machine.placements.items()):
             if key in present or placement.phase is Phase.RESERVED:
                 continue
+            if placement.task_attempt in machine.exited or placement.task_attempt in machine.recent_starts:
+                # Its exit is listed but may not be the last one, or a copy of its start may still be carried out.
+                machine.last_task_list = None
+                continue
             if placement.phase is Phase.SENT:
                 if not message.confirms_absence(placement):
                     machine.last_task_list = None
--- a/badgerroute/scheduling/model.py
+++ b/badgerroute/scheduling/model.py
@@ -23,6 +23,8 @@
 from badgerroute.storage.bitset import lowest_bit
 
 ZERO = timedelta(0)
+# A worker drops the answer to a heartbeat 4 s after it sent the heartbeat; its clock may run slower than ours.
+ANSWER_LIFETIME = timedelta(seconds=4.1)
 
 
 class HeartbeatNumber(NamedTuple):
@@ -62,6 +64,11 @@
         """The task's name in messages: `job/number`."""
         return f"{self.job.ref}/{self.index}"
 
+    @property
+    def task_attempt(self) -> TaskAttempt:
+        """The attempt's identity."""
+        return TaskAttempt(self.job.ref, self.index, self.attempt)
+
     @property
     def stopping(self) -> bool:
         """Whether a command to stop the task was sent or is due."""
@@ -111,6 +118,8 @@
     undecided: set[TaskAttempt] = field(default_factory=set)
     # Space that the tasks without a placement take in its heartbeat's task list; `free` does not contain it
     unplaced_list_bytes: int = 0
+    # Attempt -> when its start was sent last; those of which a copy may still be carried out, oldest first
+    recent_starts: dict[TaskAttempt, timedelta] = field(default_factory=dict)
     # Job -> its first failure on this machine since any task was last done here
     failed_jobs: dict[str, timedelta] = field(default_factory=dict)
 
@@ -180,6 +189,13 @@
         tasks = (*self.exited, *self.orphans, *self.undecided)
         self._set_unplaced_list_bytes(sum(max_task_status_bytes(task.ref) for task in tasks))
 
+    def forget_old_starts(self, now: timedelta) -> None:
+        """Forget the starts of which the worker would drop every copy by now."""
+        for attempt, sent_at in list(self.recent_starts.items()):
+            if now - sent_at <= ANSWER_LIFETIME:
+                break
+            del self.recent_starts[attempt]
+
     def expect_cleared(self, ref: str) -> None:
         """Free the space of one exited task, which a command in the answer to its last heartbeat clears."""
         self._set_unplaced_list_bytes(self.unplaced_list_bytes - max_task_status_bytes(ref))
--- a/badgerroute/scheduling/task_exits.py
+++ b/badgerroute/scheduling/task_exits.py
@@ -25,7 +25,6 @@
         machine = message.machine
         placement = self._placement_of(machine, task)
         if placement is not None and self._may_precede_restart(message, placement):
-            machine.last_task_list = None
             return
         if cause in CAUSES_IMPLYING_IMAGE and job.spec.image in machine.images:
             machine.fetched_images.add(job.spec.image)
@@ -44,12 +43,17 @@
 
     @staticmethod
     def _may_precede_restart(message: TaskListMessage, placement: Placement) -> bool:
-        """Whether the exit may be from before a restart of the attempt: a restart keeps the attempt number."""
-        return (
-            placement.phase is Phase.SENT
-            and placement.gang_wait_restarts > 0
-            and not message.confirms_absence(placement)
-        )
+        """Whether the exit may not be the last one of a restarted attempt: a restart keeps the attempt number.
+
+        The exit may be from before the restart. And the answer with the restart also cleared the earlier exit, so a
+        copy of it, if it is carried out yet, clears this exit too and starts the attempt once more.
+        """
+        if placement.gang_wait_restarts == 0:
+            return False
+        message.machine.forget_old_starts(message.now)
+        if placement.task_attempt in message.machine.recent_starts:
+            return True
+        return placement.phase is Phase.SENT and not message.confirms_absence(placement)
 
     def _process_incomplete_exit(self, message: TaskListMessage, placement: Placement, cause: str) -> None:
         """Process an exit before completion: restart a task whose wait for its gang timed out, release others."""
