Gossip and other mesh messages stay within a frame

The peer closes the connection each time, and then suspects the sender.

Cause: a summary's images and running jobs are not bounded, and nothing looked at the size of a message before sending.

Change: encode_gossip leaves out images, then the last waiting jobs, and running jobs last, until the gossip fits. Any other message above a frame is dropped with a warning, and the connection stays.

Why it works: what is left out guides decisions that are checked against exact amounts, and mesh messages may be lost. Gossip that fits is sent as before, byte for byte.

--- a/badgerroute/coordination/gossip.py
+++ b/badgerroute/coordination/gossip.py
@@ -42,7 +42,7 @@
             await self._loop.sleep(GOSSIP_INTERVAL)
             self._storage.store.divide_rates(self._membership.peers.store_client_count())
             if self._leadership.state.lease is not None:
-                self._membership.mesh.broadcast(self._gossip())
+                self._membership.mesh.broadcast_gossip(self._gossip())
             self._cancellation_broadcast.resend()
 
     def _gossip(self) -> Gossip:
--- a/badgerroute/coordination/membership/mesh.py
+++ b/badgerroute/coordination/membership/mesh.py
@@ -1,16 +1,19 @@
 """The mesh: one persistent connection to each peer, for messages that may be lost."""
 
-from collections.abc import Callable
+import logging
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
+from badgerroute.coordination.membership.gossip_size import encode_gossip
 from badgerroute.coordination.membership.mesh_listener import MeshListener
 from badgerroute.coordination.membership.peer_connection import PeerConnection
 from badgerroute.protocol import mesh as wire
 from badgerroute.settings import Settings
-from badgerroute.transport.frames import frame
+from badgerroute.transport.frames import MAX_FRAME_BYTES, frame
 from badgerroute.transport.loop import Loop, TaskGroup
 from badgerroute.transport.net import Network
 
+log = logging.getLogger(__name__)
 RESTART_PAUSE = timedelta(seconds=1)
 MessageHandler = Callable[[wire.Message], None]
 
@@ -46,10 +49,21 @@
         """Queue a message for one peer. The message is dropped if the host is not a peer."""
         connection = self._connections.get(host)
         if connection is not None:
-            connection.queue.add(frame(wire.encoder.encode(message)))
+            self._queue([connection], wire.encoder.encode(message))
 
     def broadcast(self, message: wire.Message) -> None:
         """Queue a message for every peer."""
-        encoded_frame = frame(wire.encoder.encode(message))
-        for connection in self._connections.values():
+        self._queue(self._connections.values(), wire.encoder.encode(message))
+
+    def broadcast_gossip(self, gossip: wire.Gossip) -> None:
+        """Queue gossip for every peer, as much of it as fits into a frame."""
+        self._queue(self._connections.values(), encode_gossip(gossip))
+
+    @staticmethod
+    def _queue(connections: Iterable[PeerConnection], payload: bytes) -> None:
+        if len(payload) > MAX_FRAME_BYTES:  # the peer would close the connection
+            log.warning("event=mesh_message_too_large bytes=%d", len(payload))
+            return
+        encoded_frame = frame(payload)
+        for connection in connections:
             connection.queue.add(encoded_frame)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -13,6 +13,7 @@
 from badgerroute.connectivity.overdue_heartbeats import count_overdue
 from badgerroute.connectivity.relay_routes import RelayRoutes, Route
 from badgerroute.coordination.membership.forwarding import RequestForwarder
+from badgerroute.coordination.membership.gossip_size import encode_gossip
 from badgerroute.coordination.membership.send_queue import MAX_QUEUED_BYTES, SendQueue
 from badgerroute.coordination.shards import summary as summary_module
 from badgerroute.coordination.shards.fencing import Fencing
@@ -357,3 +358,66 @@
 
 
 TASKS_OF_A_MACHINE = [TaskStatus(f"run-000412/{index}", 1 << 40, "running") for index in range(16)]
+
+
+def vast_gossip(running: int, images: int, demands: int) -> mesh.Gossip:
+    """Return gossip about a shard with this many running jobs, cached images and waiting jobs, all with long names."""
+    names = [f"{number:06d}{'x' * 58}" for number in range(max(running, images, demands))]
+    summary = ShardSummary(
+        0,
+        1,
+        True,
+        4000,
+        [],
+        {name: mesh.ImageCapacity(float(number), 1.0) for number, name in enumerate(names[:images])},
+        {name: [16.0] * 16 for name in names[:images]},
+        {},
+        [
+            PendingDemand(name, "blue", 1.0, 0.0, 1.0, 5, False, 1, True, 1.0, None, None, False)
+            for name in names[:demands]
+        ],
+        0.0,
+        dict.fromkeys(names[:running], 1),
+        {},
+    )
+    return mesh.Gossip("drover-0", 7, True, True, False, [summary])
+
+
+@pytest.mark.parametrize(
+    "running, images, demands",
+    [
+        pytest.param(14000, 6000, 500, id="images_go_first"),
+        pytest.param(2000, 100, 20000, id="then_waiting_jobs"),
+        pytest.param(100000, 6000, 20000, id="running_jobs_last"),
+    ],
+)
+def test_gossip_of_any_size_fits_into_a_frame(running: int, images: int, demands: int) -> None:
+    """A frame above the limit was refused by the peers, which closed the connection and then suspected the sender."""
+    gossip = vast_gossip(running, images, demands)
+    assert len(mesh.encoder.encode(gossip)) > MAX_FRAME_BYTES
+    payload = encode_gossip(gossip)
+    (summary,) = mesh.decoder.decode(payload).shards
+    assert MAX_FRAME_BYTES / 3 < len(payload) <= MAX_FRAME_BYTES
+    if running < 100000:
+        assert len(summary.running) == running
+    else:
+        assert (len(summary.images), len(summary.demands)) == (0, 0) and len(summary.running) > 10000
+
+
+def open_streams(day: Day, source: str, target: str) -> set[int]:
+    """Return the ids of the open connections from one host to another."""
+    return {
+        id(near)
+        for origin, end, near, far in day.world.streams
+        if (origin, end) == (source, target) and not near.closed
+    }
+
+
+def test_a_message_above_a_frame_is_dropped_and_the_connection_stays() -> None:
+    day = Day(seed=5)
+    day.run(5)
+    mesh_of_first = day.controllers[HOSTS[0]][0].membership.mesh
+    before = open_streams(day, HOSTS[0], HOSTS[1])
+    mesh_of_first.send(HOSTS[1], mesh.Push("b/jobs/x", 1, b"x" * (MAX_FRAME_BYTES + 1)))
+    day.run(2)
+    assert before and before <= open_streams(day, HOSTS[0], HOSTS[1])
