--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -46,6 +46,20 @@
     day.restart(day.random.choice(HOSTS), after=day.random.uniform(0.1, 0.9) * SECOND)
 
 
+def hand_over(day: Day) -> None:
+    """A controller hands one of its shards over to another."""
+    hosts = [host for host in HOSTS if host in day.controllers and day.controllers[host][0].leaders]
+    if len(day.controllers) == len(HOSTS) and hosts:
+        giver = day.random.choice(hosts)
+        taker = day.random.choice([host for host in HOSTS if host != giver])
+        controller, _ = day.controllers[giver]
+        lease = day.controllers[taker][0].leadership_state.lease
+        shard = day.random.choice(list(controller.leaders))
+        transfer = controller.membership.leadership_transfer._shard_transfer.transfer
+        if lease:
+            day.group.spawn(transfer(shard, taker, lease), "hand-over")
+
+
 def all_controllers_back(day: Day) -> None:
     for host in HOSTS:
         day.restart(host, after=day.random.uniform(0.1, 0.9) * SECOND)
@@ -94,6 +108,9 @@
     hang,
     evacuation,
     relays,
+    hand_over,
+    both(hand_over, machine_back),
+    both(hand_over, evacuation),
     both(evacuation, controller_back),
     both(relays, machine_back),
     both(machine_back, controller_back),
@@ -119,7 +136,7 @@
         fault(day)
         day.run(day.random.uniform(0.2, 2))
         if round_ % 2:
-            day.cancel(f"run-a{round_ - 1}")
+            day.cancel(f"run-a{round_}")
     return day, copies
 
 
